Close client connections that ask nothing within 2.2 s, not after 30 s

CPU, memory and descriptors (about 148 of 256) stay flat, no server reports trouble.

Suspected before the code was read: (a) a place taken for each request and not given back, (b) connections to the servers that leak while these are released one after another, (c) the server list going stale in that release. Nothing leaks, which rules out (a): the places are held, and come back after 30 s.

Cause: server.rs let a connection stand idle, or a head be unfinished, for 30 s (HEAD_TIMEOUT) and a body for 5 s (BODY_TIMEOUT), while run() accepts only with one of 128 slots in hand. Some four quiet connections a second fill all slots; clients then wait in the backlog until their time is up, and are refused by the front or answered too late to be tried at all.

Now a head has 2.2 s, and the first request of a connection must be whole 2.6 s after the accept, each later one 2.6 s after its head.

The tests drive a connection on a paused clock. Both fail with the old limits ("30s").

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -1,5 +1,6 @@
 //! The clients' side: takes connections, reads requests, waits for each one's final answer and writes it.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,20 +14,23 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::driver::{Asked, Call, Node, Reply};
 use crate::upstream::MAX_BODY;
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
-/// A head has this long to arrive, and a connection this long to stand idle.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
-/// A body has at most this long to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// A head has this long to arrive, and a connection this long to stand idle: each holds one of few slots, and
+/// a peer that has nothing to ask keeps clients out for as long. Clients may be closed on after 2 s.
+const HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
+/// The first request of a connection is whole this long after the accept, and each later one after its head:
+/// a peer is owed an error or a close within 3 s of its connect.
+const WHOLE_WITHIN: Duration = Duration::from_millis(2600);
 const MAX_HEAD: usize = 32 * 1024;
 /// A client counts its time from its send to the last byte of the answer, so the ways there and back come
 /// off: an answer that leaves as the budget ends comes to a client that has just given up.
@@ -118,7 +122,11 @@
     let (node, phase) = (node.clone(), phase.clone());
     spawn_local(async move {
         let _slot = slot;
-        if let Err(error) = converse(stream, node, phase).await {
+        let talk = async {
+            stream.set_nodelay(true)?;
+            converse(stream, node, phase).await
+        };
+        if let Err(error) = talk.await {
             tracing::debug!("client: {error}");
         }
     });
@@ -132,13 +140,20 @@
     Http(#[from] hyper::Error),
 }
 
-async fn converse(stream: TcpStream, node: Node, mut phase: watch::Receiver<Phase>) -> Result<(), Trouble> {
-    stream.set_nodelay(true)?;
+async fn converse(
+    stream: impl AsyncRead + AsyncWrite + Unpin,
+    node: Node,
+    mut phase: watch::Receiver<Phase>,
+) -> Result<(), Trouble> {
+    let accepted = Cell::new(Some(Instant::now()));
     // One that comes during the way out is closed by its first answer. Closing it sooner would lose the
     // request for which it was opened.
     let late = *phase.borrow() != Phase::Serving;
     let answers = phase.clone();
-    let service = service_fn(|request| answer(&node, request, &answers));
+    let service = service_fn(|request| {
+        let whole_by = accepted.take().unwrap_or_else(Instant::now) + WHOLE_WITHIN;
+        answer(&node, request, whole_by, &answers)
+    });
     let mut connection = std::pin::pin!(
         http1::Builder::new()
             .timer(TokioTimer::new())
@@ -159,11 +174,14 @@
 async fn answer(
     node: &Node,
     request: Request<Incoming>,
+    whole_by: Instant,
     phase: &watch::Receiver<Phase>,
 ) -> Result<Answer, Infallible> {
     let serving = || *phase.borrow() == Phase::Serving;
     let mut response = match request.uri().path() {
-        "/api" => call(node, request).await.unwrap_or_else(|bad| plain(bad.status(), &bad.to_string())),
+        "/api" => {
+            call(node, request, whole_by).await.unwrap_or_else(|bad| plain(bad.status(), &bad.to_string()))
+        }
         "/health/ready" if request.method() != Method::GET => {
             plain(StatusCode::METHOD_NOT_ALLOWED, "GET only")
         }
@@ -177,7 +195,7 @@
     Ok(response)
 }
 
-async fn call(node: &Node, request: Request<Incoming>) -> Result<Answer, BadCall> {
+async fn call(node: &Node, request: Request<Incoming>, whole_by: Instant) -> Result<Answer, BadCall> {
     let came = node.clock().now();
     let (head, body) = request.into_parts();
     let headers = &head.headers;
@@ -192,7 +210,7 @@
     let budget = whole(BUDGET, required(headers, BUDGET)?)?;
     let hint = single(headers, COST)?.map(|text| whole(COST, text)).transpose()?;
     let repeat = single(headers, AGAIN)? == Some("1");
-    let body = read(body).await?;
+    let body = read(body, whole_by).await?;
     if effect == Effect::Repeatable && !body.is_empty() {
         return Err(BadCall::Misplaced("a body"));
     }
@@ -213,8 +231,8 @@
     budget_ms.saturating_mul(1_000_000).min(deadline).saturating_sub(spent.saturating_add(ON_THE_WAY))
 }
 
-async fn read(body: Incoming) -> Result<Bytes, BadCall> {
-    match timeout(BODY_TIMEOUT, Limited::new(body, MAX_BODY).collect()).await {
+async fn read(body: Incoming, whole_by: Instant) -> Result<Bytes, BadCall> {
+    match timeout_at(whole_by, Limited::new(body, MAX_BODY).collect()).await {
         Ok(Ok(whole)) => Ok(whole.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadCall::TooLarge),
         Ok(Err(_)) | Err(_) => Err(BadCall::NoBody),
@@ -303,10 +321,75 @@
 
 #[cfg(test)]
 mod tests {
+    use std::rc::Rc;
+
+    use brookfield::BackendId;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
     use super::*;
+    use crate::driver::{Clock, Launch, Launcher};
 
     const MS: Nanos = 1_000_000;
 
+    fn idle_node() -> Node {
+        struct Nothing;
+        impl Launcher for Nothing {
+            fn launch(&self, _: &Node, _: Launch) {}
+            fn retire(&self, _: BackendId) {}
+        }
+        let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": "pushed",
+            "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
+                "deadline-ns": 4_000_000_000u64}],
+            "policy-limits": {"attempts-cap": 3}, "goal": {},
+            "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": 500_000_000, "fall-ns": 1_500_000_000u64,
+                "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000u64}});
+        let site = brookfield_settings::read(&config).expect("settings");
+        Node::new(site.settings, site.words, 7, Clock::start(), Rc::new(Nothing)).expect("a node")
+    }
+
+    /// What a connection brings back until the node closes it, and how long that took on the paused clock.
+    /// Each text is written a second after the one before.
+    async fn until_closed(texts: &[&str]) -> (String, Duration) {
+        let (mut peer, stream) = tokio::io::duplex(4096);
+        let (_phase, phases) = watch::channel(Phase::Serving);
+        let began = Instant::now();
+        let node = idle_node();
+        let client = async {
+            for text in texts {
+                peer.write_all(text.as_bytes()).await.expect("the node still reads");
+                sleep(Duration::from_secs(1)).await;
+            }
+            let mut got = String::new();
+            let _ = peer.read_to_string(&mut got).await;
+            got
+        };
+        let (got, _) = tokio::join!(client, converse(stream, node, phases));
+        (got, began.elapsed())
+    }
+
+    const OWED: Duration = Duration::from_secs(3);
+
+    /// Idle connections once kept all slots for half a minute, and no client was let in meanwhile.
+    #[tokio::test(start_paused = true)]
+    async fn a_connection_with_nothing_to_ask_is_closed_soon() {
+        let (got, took) = until_closed(&["GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n"]).await;
+        assert!(got.starts_with("HTTP/1.1 200 "), "{got}");
+        assert!((Duration::from_secs(2)..OWED).contains(&took), "{took:?}");
+        let (got, took) = until_closed(&[]).await;
+        assert_eq!(got, "");
+        assert!((Duration::from_secs(2)..OWED).contains(&took), "{took:?}");
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn a_request_that_does_not_arrive_whole_is_ended_soon() {
+        let head = "POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: pay\r\nX-Budget-Ms: 900\r\n";
+        let (_, took) = until_closed(&["POST /api", " HTTP/1.1"]).await;
+        assert!(took < OWED, "{took:?}");
+        let (got, took) = until_closed(&[head, "Content-Length: 9\r\n\r\nhalf"]).await;
+        assert!(got.starts_with("HTTP/1.1 408 "), "{got}");
+        assert!(took < OWED, "{took:?}");
+    }
+
     /// Guards against answers that leave when the client's time is up and so come too late.
     #[test]
     fn the_ways_there_and_back_come_off_a_budget() {
