Close a busy connection with its answer when its backend has left meanwhile

When a backend drains, goes or moves, only its idle connections were dropped (Upstream::retire).

Back to the pool now goes only a connection whose backend is in service at that address. The test watches a backend's side of a connection that was busy when it left; without the change it stays open past the test's 20 s.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -306,6 +306,13 @@
         live && open
     }
 
+    /// Whether a backend takes requests, at this address.
+    pub fn in_service(&self, backend: BackendId, endpoint: SocketAddr) -> bool {
+        let driver = self.driver.borrow();
+        let known = driver.backends.get(&backend);
+        known.is_some_and(|known| known.draining_since.is_none() && known.endpoint == endpoint)
+    }
+
     /// Takes the end of an attempt.
     pub fn settled(&self, ticket: Ticket, ending: Ending) {
         self.tell(|driver, errands| driver.settled(ticket, ending, errands));
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -136,13 +136,13 @@
             }
             // The connect may have outlasted the request, or the backend's place on the list.
             if !node.may_write(launch.ticket) {
-                self.keep(place, link);
+                self.keep(node, place, link);
                 return Ending::bare(Outcome::Moot);
             }
             let Some(message) = self.message(launch) else { return Ending::bare(Outcome::Moot) };
             written.set(true);
             match link.try_send_request(message).await {
-                Ok(response) => return self.read(place, link, response).await,
+                Ok(response) => return self.read(node, place, link, response).await,
                 // The message comes back only if not a byte of it was written.
                 Err(mut error) => match error.take_message() {
                     Some(_) => written.set(false),
@@ -170,7 +170,7 @@
         Some(message)
     }
 
-    async fn read(&self, place: Place, link: Link, response: Response<Incoming>) -> Ending {
+    async fn read(&self, node: &Node, place: Place, link: Link, response: Response<Incoming>) -> Ending {
         let (head, body) = response.into_parts();
         let report = load_report(&head.headers);
         let rejected = head.headers.get("x-rejected").is_some_and(|value| value == "1");
@@ -179,7 +179,7 @@
         let whole = Limited::new(body, MAX_BODY).collect().await.ok().filter(|_| framed);
         let body = whole.map(|whole| whole.to_bytes());
         if body.is_some() {
-            self.keep(place, link);
+            self.keep(node, place, link);
         }
         let outcome = match (head.status, &body) {
             (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if rejected => Outcome::Full,
@@ -204,8 +204,9 @@
         None
     }
 
-    fn keep(&self, place: Place, link: Link) {
-        if !link.is_closed() {
+    /// Back to the pool, unless its backend has left or moved since: nobody would take it from there.
+    fn keep(&self, node: &Node, place: Place, link: Link) {
+        if !link.is_closed() && node.in_service(place.0, place.1) {
             self.idle.borrow_mut().entry(place).or_default().push(Idle { link, since: self.clock.now() });
         }
     }
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::Read;
+use std::io::{BufReader, Read, Write};
 use std::sync::Arc;
 use std::thread;
 
@@ -169,6 +169,31 @@
     }
 }
 
+/// A connection that was busy when its backend left must not be kept for a backend that nobody will use.
+#[test]
+fn a_busy_connection_to_a_backend_that_leaves_is_closed_with_its_answer() {
+    for state in ["Terminating", "Gone"] {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        let discovery = Discovery::new(json!([target("s-0", at, "Ready")]));
+        let mut config = config(discovery.at, json!([]));
+        config["settings"]["policy-limits"]["conn-idle-ns"] = json!(600_000_000_000u64);
+        let node = Node::start(&config);
+        discovery.watched_from(1);
+        let mut client = Client::to(node.at);
+        client.write(&get("b1", ""));
+        let (mut stream, _) = listener.accept().unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        assert!(read_message(&mut reader).is_some());
+        discovery.set(json!([target("s-0", at, state)]));
+        discovery.watched_from(discovery.rev());
+        stream.write_all(ok("late").as_bytes()).unwrap();
+        assert_eq!(client.read().expect("an answer").body, b"late");
+        assert_eq!(reader.read(&mut [0; 1]).expect("closed in time"), 0, "{state}");
+    }
+}
+
 /// The configuration names another address for discovery: what holds from then on is told there.
 #[test]
 fn sighup_moves_discovery() {
