Share out descriptors with none promised twice, and blame no server for a lack

Half the descriptors were promised to clients, three eighths to servers and an eighth of that again on top: with the node's own that is more than all at 256. Where the servers' part ran out, upstream.rs reported "could not connect", which the module books against the server, doubly, and ejects it for. Nobody had been asked, so the attempt is now moot.

What is not needed for requests (a third at most, and as many connections to servers) is now for those peers: 236 of 384.

Both tests fail without the change: 16 + 13 + 16 of 32 descriptors were promised, and an attempt with no connection to be had ended as a failed one.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -607,7 +607,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use std::future::Future;
     use std::task::{Context, Poll, Waker};
 
@@ -615,9 +615,9 @@
 
     /// Keeps what it is asked to do.
     #[derive(Default)]
-    struct Kept {
-        launches: RefCell<Vec<Launch>>,
-        retired: RefCell<Vec<BackendId>>,
+    pub struct Kept {
+        pub launches: RefCell<Vec<Launch>>,
+        pub retired: RefCell<Vec<BackendId>>,
     }
 
     impl Launcher for Kept {
@@ -630,7 +630,7 @@
         }
     }
 
-    fn node(drain_grace: Nanos) -> (Node, Rc<Kept>) {
+    pub fn node(drain_grace: Nanos) -> (Node, Rc<Kept>) {
         let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": "pushed",
             "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
                 "deadline-ns": 4_000_000_000u64}],
@@ -643,7 +643,7 @@
         (node, kept)
     }
 
-    fn listed(uid: &str, stage: Stage) -> Listed {
+    pub fn listed(uid: &str, stage: Stage) -> Listed {
         Listed {
             uid: uid.to_owned(),
             endpoint: SocketAddr::from(([127, 0, 0, 1], 9)),
@@ -656,7 +656,7 @@
         }
     }
 
-    fn asked(budget: Nanos) -> Asked {
+    pub fn asked(budget: Nanos) -> Asked {
         let call = Call {
             method: Method::POST,
             target: Uri::from_static("/api"),
@@ -679,7 +679,7 @@
         (driver.requests.len(), driver.balancer.open_requests())
     }
 
-    const SECOND: Nanos = 1_000_000_000;
+    pub const SECOND: Nanos = 1_000_000_000;
 
     #[test]
     fn a_request_and_its_timer_are_forgotten_with_its_answer() {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -29,6 +29,8 @@
 /// Connections that cross the closing of idle ones are taken up to here after that.
 const LAST_ONES: Duration = Duration::from_millis(100);
 const BACKLOG: u32 = 1024;
+/// Descriptors of the node's own: the runtime's, the standard streams, the listener, discovery's, the log.
+const OWN: usize = 16;
 
 /// What the node is told at its start.
 #[derive(Deserialize)]
@@ -97,12 +99,7 @@
 async fn serve(config: Config) -> Result<(), StartError> {
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
-    // Half the descriptors are for clients, three eighths for backends; the rest is slack and the node's own.
-    let sockets = config.limits.sockets;
-    if sockets < 32 {
-        return Err(StartError::Sockets(sockets));
-    }
-    let (clients, backends) = (sockets / 2, sockets * 3 / 8);
+    let (clients, backends) = shares(config.limits.sockets)?;
     let clock = Clock::start();
     let upstream = Upstream::new(site.links, clock, backends);
     spawn_local(Upstream::sweep(upstream.pool()));
@@ -135,6 +132,17 @@
     Ok(())
 }
 
+/// How many descriptors clients and backends may hold. A third of all is in use by clients' requests at
+/// most, and each of those has one connection to a backend; what is left over is for peers that ask nothing
+/// and hold theirs until their time is up.
+fn shares(sockets: usize) -> Result<(usize, usize), StartError> {
+    if sockets < 2 * OWN {
+        return Err(StartError::Sockets(sockets));
+    }
+    let backends = sockets * 11 / 32;
+    Ok((sockets - OWN - backends, backends))
+}
+
 fn listen(at: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
     // A restart must not wait for the last life's connections to leave the system's tables.
@@ -163,3 +171,23 @@
         _ = interrupt.recv() => {}
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_descriptor_is_promised_twice() {
+        for sockets in 32..=2048 {
+            let (clients, backends) = shares(sockets).expect("enough");
+            assert!(clients + backends + OWN <= sockets, "{sockets}: {clients} and {backends}");
+            assert!(clients > 0 && backends > 0, "{sockets}: {clients} and {backends}");
+            if sockets >= 256 {
+                // Requests on a third of the descriptors leave room for as many peers that ask nothing.
+                assert!(clients >= sockets / 2 + sockets / 16, "{sockets}: {clients}");
+                assert!(backends > sockets / 3, "{sockets}: {backends}");
+            }
+        }
+        assert!(shares(31).is_err());
+    }
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -122,9 +122,13 @@
         loop {
             let (mut link, fresh) = match self.take(place) {
                 Some(link) => (link, false),
-                None => match self.connect(launch.endpoint).await {
-                    Some(link) => (link, true),
-                    None => return Ending::bare(Outcome::ConnectFailed),
+                // Short of descriptors nobody was asked: that says nothing against the backend.
+                None => match self.slot() {
+                    None => return Ending::bare(Outcome::Moot),
+                    Some(slot) => match self.connect(launch.endpoint, slot).await {
+                        Some(link) => (link, true),
+                        None => return Ending::bare(Outcome::ConnectFailed),
+                    },
                 },
             };
             // A pooled connection found dead before anything was written to it costs nothing: the next one.
@@ -211,14 +215,16 @@
         }
     }
 
-    async fn connect(&self, endpoint: SocketAddr) -> Option<Link> {
-        if self.open.get() >= self.most {
+    /// A place among the open connections, or none where all are taken. An idle one makes room for a new one
+    /// a little before the bound: its task ends a moment later.
+    fn slot(&self) -> Option<Counted> {
+        if self.open.get() >= self.most - self.most / 16 {
             self.drop_oldest();
         }
-        if self.open.get() >= self.most + self.most / 8 {
-            return None;
-        }
-        let counted = Counted::new(&self.open);
+        (self.open.get() < self.most).then(|| Counted::new(&self.open))
+    }
+
+    async fn connect(&self, endpoint: SocketAddr, counted: Counted) -> Option<Link> {
         let limit = Duration::from_nanos(self.links.connect_timeout);
         let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
@@ -243,7 +249,6 @@
         });
     }
 
-    /// Makes room: its task ends a moment later, for which the bound has some slack.
     fn drop_oldest(&self) {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle.values_mut().filter(|links| !links.is_empty()).min_by_key(|links| links[0].since);
@@ -270,3 +275,24 @@
     let figures: Figures = serde_json::from_slice(text).unwrap_or_default();
     Report { util: figures.util, rate: figures.qps, in_flight: figures.inflight }
 }
+
+#[cfg(test)]
+mod tests {
+    use brookfield::{ListScope, Stage};
+
+    use super::*;
+    use crate::driver::tests::{SECOND, asked, listed, node};
+
+    /// The node's own want of descriptors once counted against the backends, and ejected good ones.
+    #[tokio::test]
+    async fn out_of_connections_nobody_is_to_blame() {
+        let (node, kept) = node(SECOND);
+        node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+        let _waiting = node.submit(asked(60 * SECOND));
+        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        let links = Links { idle: SECOND, connect_timeout: SECOND };
+        let upstream = Upstream::new(links, Clock::start(), 0);
+        let ending = upstream.pool().attempt(&node, &launch, &Cell::new(false)).await;
+        assert_eq!(ending.outcome, Outcome::Moot);
+    }
+}
