Let go of a client that does not read its answer

The mirror of a silent peer: one that asks and then does not take its answer. Once the socket's buffer is full nothing on such a connection ends: hyper waits for the write, and its limit for the next head starts only after that. Its slot was held for ever. Now it ends 5 s after the answer was ready, past any client's time. Found by looking for the mirror of the idle limit; the test, on a paused clock, finds the connection still held after a minute without it.

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::driver::{Asked, Call, Node, Reply};
 use crate::upstream::MAX_BODY;
@@ -28,6 +28,8 @@
 /// A head has this long to arrive, and a connection this long to stand idle: each holds one of few slots, and
 /// a peer that has nothing to ask keeps clients out for as long. Clients may be closed on after 2 s.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
+/// A client that has not taken its answer by then, nor asked again, does not read: past any client's time.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// The first request of a connection is whole this long after the accept, and each later one after its head:
 /// a peer is owed an error or a close within 3 s of its connect.
 const WHOLE_WITHIN: Duration = Duration::from_millis(2600);
@@ -146,13 +148,17 @@
     mut phase: watch::Receiver<Phase>,
 ) -> Result<(), Trouble> {
     let accepted = Cell::new(Some(Instant::now()));
+    let answered = Cell::new(None);
     // One that comes during the way out is closed by its first answer. Closing it sooner would lose the
     // request for which it was opened.
     let late = *phase.borrow() != Phase::Serving;
     let answers = phase.clone();
-    let service = service_fn(|request| {
+    let service = service_fn(async |request| {
         let whole_by = accepted.take().unwrap_or_else(Instant::now) + WHOLE_WITHIN;
-        answer(&node, request, whole_by, &answers)
+        answered.set(None);
+        let response = answer(&node, request, whole_by, &answers).await;
+        answered.set(Some(Instant::now()));
+        response
     });
     let mut connection = std::pin::pin!(
         http1::Builder::new()
@@ -161,14 +167,35 @@
             .max_buf_size(MAX_HEAD)
             .serve_connection(TokioIo::new(stream), service)
     );
-    if !late {
-        tokio::select! {
-            biased;
-            result = &mut connection => return Ok(result?),
-            _ = phase.wait_for(|phase| *phase >= Phase::Closing) => connection.as_mut().graceful_shutdown(),
+    let talk = async {
+        if !late {
+            tokio::select! {
+                biased;
+                result = &mut connection => return result,
+                _ = phase.wait_for(|phase| *phase >= Phase::Closing) => {
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+        connection.await
+    };
+    tokio::select! {
+        biased;
+        result = talk => Ok(result?),
+        () = left_unread(&answered) => Ok(()),
+    }
+}
+
+/// Resolves once an answer has been there for too long with no request after it. A connection that has sent its
+/// answer is closed as idle before that, so this one's peer does not read.
+async fn left_unread(answered: &Cell<Option<Instant>>) {
+    loop {
+        let end = answered.get().unwrap_or_else(Instant::now) + UNREAD_TIMEOUT;
+        if end <= Instant::now() {
+            return;
         }
+        sleep_until(end).await;
     }
-    Ok(connection.await?)
 }
 
 async fn answer(
@@ -321,39 +348,20 @@
 
 #[cfg(test)]
 mod tests {
-    use std::rc::Rc;
-
-    use brookfield::BackendId;
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
     use super::*;
-    use crate::driver::{Clock, Launch, Launcher};
+    use crate::driver;
 
     const MS: Nanos = 1_000_000;
 
-    fn idle_node() -> Node {
-        struct Nothing;
-        impl Launcher for Nothing {
-            fn launch(&self, _: &Node, _: Launch) {}
-            fn retire(&self, _: BackendId) {}
-        }
-        let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": "pushed",
-            "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
-                "deadline-ns": 4_000_000_000u64}],
-            "policy-limits": {"attempts-cap": 3}, "goal": {},
-            "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": 500_000_000, "fall-ns": 1_500_000_000u64,
-                "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000u64}});
-        let site = brookfield_settings::read(&config).expect("settings");
-        Node::new(site.settings, site.words, 7, Clock::start(), Rc::new(Nothing)).expect("a node")
-    }
-
     /// What a connection brings back until the node closes it, and how long that took on the paused clock.
     /// Each text is written a second after the one before.
     async fn until_closed(texts: &[&str]) -> (String, Duration) {
         let (mut peer, stream) = tokio::io::duplex(4096);
         let (_phase, phases) = watch::channel(Phase::Serving);
         let began = Instant::now();
-        let node = idle_node();
+        let (node, _) = driver::tests::node(0);
         let client = async {
             for text in texts {
                 peer.write_all(text.as_bytes()).await.expect("the node still reads");
@@ -390,6 +398,25 @@
         assert!(took < OWED, "{took:?}");
     }
 
+    /// The answer stays in the way of everything else, so nothing that the connection waits for ever comes.
+    #[tokio::test(start_paused = true)]
+    async fn a_client_that_does_not_read_is_let_go() {
+        let (mut peer, stream) = tokio::io::duplex(64);
+        let (_phase, phases) = watch::channel(Phase::Serving);
+        let (node, _) = driver::tests::node(0);
+        let talk = converse(stream, node, phases);
+        let ask = async {
+            peer.write_all(b"GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n").await.expect("taken");
+            std::future::pending().await
+        };
+        tokio::select! {
+            biased;
+            result = talk => assert!(result.is_ok()),
+            () = ask => {}
+            () = sleep(Duration::from_secs(60)) => panic!("still held"),
+        }
+    }
+
     /// Guards against answers that leave when the client's time is up and so come too late.
     #[test]
     fn the_ways_there_and_back_come_off_a_budget() {
