Close connections that have not asked yet sooner while slots are scarce

Descriptors again stand at the clients' bound (236 + 16 and the servers'), so bursts of silent peers fill what slots there are, for 2.2 s each, and clients wait in the backlog past their time. Ruled out: servers (5 errors in all), CPU (0.08 s in the worst second), memory (7 of 48 MB).

While no more than an eighth of the slots is free, a connection that has not brought a whole request 250 ms after its accept is closed; a client sends its request at once. One that has asked before keeps its 2.2 s.

The test fails without the change (the connection lasts 2.2 s).

--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -28,6 +28,10 @@
 /// A head has this long to arrive, and a connection this long to stand idle: each holds one of few slots, and
 /// a peer that has nothing to ask keeps clients out for as long. Clients may be closed on after 2 s.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(2200);
+/// While slots are scarce a connection has only this long for its first request, which a client sends at once.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Slots are scarce once no more than one in this many is free.
+const SCARCE: usize = 8;
 /// A client that has not taken its answer by then, nor asked again, does not read: past any client's time.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(5);
 /// The first request of a connection is whole this long after the accept, and each later one after its head:
@@ -94,13 +98,18 @@
 /// Serves until the phase is [`Phase::Closed`] and all connections have ended. At most `most` are open.
 pub async fn run(listener: TcpListener, node: Node, most: usize, mut phase: watch::Receiver<Phase>) {
     let slots = Arc::new(Semaphore::new(most));
+    let scarce = most / SCARCE;
     let mut closed = phase.clone();
     let closed = closed.wait_for(|phase| *phase == Phase::Closed);
     let accepting = async {
         loop {
             let Ok(slot) = slots.clone().acquire_owned().await else { return };
             match listener.accept().await {
-                Ok((stream, _)) => welcome(stream, &node, slot, &phase),
+                Ok((stream, _)) => {
+                    let slots = slots.clone();
+                    let scarcity = move || slots.available_permits() <= scarce;
+                    welcome(stream, &node, slot, &phase, scarcity);
+                }
                 Err(error) => {
                     tracing::warn!("accept: {error}");
                     sleep(ACCEPT_AGAIN).await;
@@ -120,13 +129,19 @@
     drop(slots.acquire_many(all).await);
 }
 
-fn welcome(stream: TcpStream, node: &Node, slot: OwnedSemaphorePermit, phase: &watch::Receiver<Phase>) {
+fn welcome(
+    stream: TcpStream,
+    node: &Node,
+    slot: OwnedSemaphorePermit,
+    phase: &watch::Receiver<Phase>,
+    scarcity: impl Fn() -> bool + 'static,
+) {
     let (node, phase) = (node.clone(), phase.clone());
     spawn_local(async move {
         let _slot = slot;
         let talk = async {
             stream.set_nodelay(true)?;
-            converse(stream, node, phase).await
+            converse(stream, node, phase, scarcity).await
         };
         if let Err(error) = talk.await {
             tracing::debug!("client: {error}");
@@ -146,6 +161,7 @@
     stream: impl AsyncRead + AsyncWrite + Unpin,
     node: Node,
     mut phase: watch::Receiver<Phase>,
+    scarcity: impl Fn() -> bool,
 ) -> Result<(), Trouble> {
     let accepted = Cell::new(Some(Instant::now()));
     let answered = Cell::new(None);
@@ -183,6 +199,21 @@
         biased;
         result = talk => Ok(result?),
         () = left_unread(&answered) => Ok(()),
+        () = crowded_out(&accepted, scarcity) => Ok(()),
+    }
+}
+
+/// Resolves while slots are scarce for a connection that is still without its first request: others wait for
+/// its slot, and their time runs.
+async fn crowded_out(accepted: &Cell<Option<Instant>>, scarcity: impl Fn() -> bool) {
+    loop {
+        sleep(FIRST_TIMEOUT).await;
+        if accepted.get().is_none() {
+            std::future::pending().await
+        }
+        if scarcity() {
+            return;
+        }
     }
 }
 
@@ -357,7 +388,7 @@
 
     /// What a connection brings back until the node closes it, and how long that took on the paused clock.
     /// Each text is written a second after the one before.
-    async fn until_closed(texts: &[&str]) -> (String, Duration) {
+    async fn until_closed(scarce: bool, texts: &[&str]) -> (String, Duration) {
         let (mut peer, stream) = tokio::io::duplex(4096);
         let (_phase, phases) = watch::channel(Phase::Serving);
         let began = Instant::now();
@@ -371,7 +402,7 @@
             let _ = peer.read_to_string(&mut got).await;
             got
         };
-        let (got, _) = tokio::join!(client, converse(stream, node, phases));
+        let (got, _) = tokio::join!(client, converse(stream, node, phases, || scarce));
         (got, began.elapsed())
     }
 
@@ -380,10 +411,10 @@
     /// Idle connections once kept all slots for half a minute, and no client was let in meanwhile.
     #[tokio::test(start_paused = true)]
     async fn a_connection_with_nothing_to_ask_is_closed_soon() {
-        let (got, took) = until_closed(&["GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n"]).await;
+        let (got, took) = until_closed(false, &["GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n"]).await;
         assert!(got.starts_with("HTTP/1.1 200 "), "{got}");
         assert!((Duration::from_secs(2)..OWED).contains(&took), "{took:?}");
-        let (got, took) = until_closed(&[]).await;
+        let (got, took) = until_closed(false, &[]).await;
         assert_eq!(got, "");
         assert!((Duration::from_secs(2)..OWED).contains(&took), "{took:?}");
     }
@@ -391,20 +422,31 @@
     #[tokio::test(start_paused = true)]
     async fn a_request_that_does_not_arrive_whole_is_ended_soon() {
         let head = "POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: pay\r\nX-Budget-Ms: 900\r\n";
-        let (_, took) = until_closed(&["POST /api", " HTTP/1.1"]).await;
+        let (_, took) = until_closed(false, &["POST /api", " HTTP/1.1"]).await;
         assert!(took < OWED, "{took:?}");
-        let (got, took) = until_closed(&[head, "Content-Length: 9\r\n\r\nhalf"]).await;
+        let (got, took) = until_closed(false, &[head, "Content-Length: 9\r\n\r\nhalf"]).await;
         assert!(got.starts_with("HTTP/1.1 408 "), "{got}");
         assert!(took < OWED, "{took:?}");
     }
 
+    /// A burst of peers that ask nothing once kept clients waiting in the backlog past their time.
+    #[tokio::test(start_paused = true)]
+    async fn a_connection_without_a_request_makes_room_while_slots_are_scarce() {
+        let (got, took) = until_closed(true, &[]).await;
+        assert_eq!(got, "");
+        assert!(took < Duration::from_millis(500), "{took:?}");
+        let (got, took) = until_closed(true, &["GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n"]).await;
+        assert!(got.starts_with("HTTP/1.1 200 "), "{got}");
+        assert!(took >= Duration::from_secs(2), "one that has asked may be a client: {took:?}");
+    }
+
     /// The answer stays in the way of everything else, so nothing that the connection waits for ever comes.
     #[tokio::test(start_paused = true)]
     async fn a_client_that_does_not_read_is_let_go() {
         let (mut peer, stream) = tokio::io::duplex(64);
         let (_phase, phases) = watch::channel(Phase::Serving);
         let (node, _) = driver::tests::node(0);
-        let talk = converse(stream, node, phases);
+        let talk = converse(stream, node, phases, || false);
         let ask = async {
             peer.write_all(b"GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n").await.expect("taken");
             std::future::pending().await
