Count the waits in a request's time, so that idle servers do not look slow

Suspected: (a) good servers ejected, (b) a budget for cold servers or retries spent, (c) the expected delay wrong. Ruled out: ejections and full servers (no mark in nearly all lines), retries (no attempt had been made at all), cold servers (none). The node with one server at home held 30 to 60 requests until their aim had passed, with 13 of its own on that server (slowness 0.3 to 0.6) and none or one on each of seven in the other room (slowness 2 to 5), which admits() found too slow even for a single request.

Cause: Backend::load in choice.rs takes a request's time to grow in proportion to IDLE_LOAD + requests held, and IDLE_LOAD was 0.7. But 40% of a request's time passes in waits on others, and a server has up to two cores. A crowded server thus yields a short time per unit of load, which teaches the classes a base time that no idle server can reach; these then look 2 to 5 times slower than they are, take nothing, and so never show better.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,8 +33,9 @@
 const BASE_SAMPLES: f64 = 400.0;
 /// Weight of a sample above the base time against one below it.
 const BASE_RISE: f64 = 0.4;
-/// Load of an idle backend in the expected delay, in own requests; small, as others' load grows with own.
-const IDLE_LOAD: f64 = 0.7;
+/// Load of an idle backend in the expected delay, in own requests: the part of a request's time that passes
+/// in waits no queue lengthens. Too small, a crowded backend teaches a base time that no idle one can reach.
+const IDLE_LOAD: f64 = 2.0;
 /// One observation counts at most this many times the expectation: single expensive requests are chance.
 const SLOW_CLAMP: f64 = 6.0;
 /// Spread of the pick's jitter, so that nodes with the same view do not herd.
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -181,3 +181,36 @@
         assert_eq!((sent(&actions).is_some(), refused(&actions)), (taken, !taken));
     }
 }
+
+/// Replay of ticket5979: a request's time is mostly waits that no queue lengthens. Taken for queueing, they made
+/// idle servers look slow beside crowded ones, and requests were held and refused with servers idle.
+#[test]
+fn an_idle_backend_does_not_look_slow_beside_a_crowded_one() {
+    let mut given = settings(Effect::Repeatable);
+    given.classes = vec![class(190, 500, Effect::Repeatable)];
+    let mut node = Node::new(given, vec![member(0, 0), member(1, 1), member(2, 1)]);
+    let (mut asked, mut late) = (0, 0);
+    for _ in 0..100 {
+        let mut out = Vec::new();
+        let mut held = [0u64; 3];
+        for _ in 0..16 {
+            let (request, actions) = node.ask(500 * MS);
+            asked += 1;
+            if let Some(to) = sent(&actions) {
+                let ahead = &mut held[to.0 as usize];
+                *ahead += 1;
+                out.push((request, (20 + 10 * *ahead) * MS));
+            } else {
+                late += 1;
+            }
+        }
+        out.sort_by_key(|(_, elapsed)| *elapsed);
+        let began = node.now;
+        for (request, elapsed) in out {
+            node.now = began + elapsed;
+            node.settle_after(request, 0, Outcome::Served, elapsed, Report::default());
+        }
+        node.pass(300 * MS);
+    }
+    assert!(late * 20 < asked, "{late} of {asked} held, with time for all");
+}
