Answer the readiness check with 503 until a server is known

The front takes a node in once its check has answered 200. The node said so as soon as it listened, with an empty list too, and then could only hold requests and refuse them. Now it is ready once a server in service is known, from its last list or from discovery. Found by holding server.rs to the protocol; the test fails without the change (200 where 503 is due).

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -306,6 +306,11 @@
         live && open
     }
 
+    /// Whether any backend is known that takes requests.
+    pub fn knows_backends(&self) -> bool {
+        self.driver.borrow().backends.values().any(|known| known.draining_since.is_none())
+    }
+
     /// Whether a backend takes requests, at this address.
     pub fn in_service(&self, backend: BackendId, endpoint: SocketAddr) -> bool {
         let driver = self.driver.borrow();
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -249,8 +249,12 @@
         "/health/ready" if request.method() != Method::GET => {
             plain(StatusCode::METHOD_NOT_ALLOWED, "GET only")
         }
-        "/health/ready" if serving() => plain(StatusCode::OK, "ready"),
-        "/health/ready" => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        "/health/ready" if !serving() => plain(StatusCode::SERVICE_UNAVAILABLE, "stopping"),
+        // Clients sent here now would all be refused.
+        "/health/ready" if !node.knows_backends() => {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "no server known yet")
+        }
+        "/health/ready" => plain(StatusCode::OK, "ready"),
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
     };
     if !client || !serving() {
@@ -436,7 +440,7 @@
     #[tokio::test(start_paused = true)]
     async fn what_is_no_call_ends_its_connection() {
         for (status, text) in
-            [("200", CHECK), ("404", "GET /other HTTP/1.1\r\n\r\n"), ("400", "POST /api HTTP/1.1\r\n\r\n")]
+            [("503", CHECK), ("404", "GET /other HTTP/1.1\r\n\r\n"), ("400", "POST /api HTTP/1.1\r\n\r\n")]
         {
             let (got, took) = until_closed(false, &[text]).await;
             assert!(got.starts_with(&format!("HTTP/1.1 {status} ")), "{got}");
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -26,6 +26,20 @@
     assert_eq!(node.ask(&get("k1", "")).status(), 200);
 }
 
+/// A node is taken in once it is ready; before it knows a server it could only refuse.
+#[test]
+fn is_ready_once_it_knows_a_server() {
+    let backend = serving("yes");
+    let discovery = Discovery::new(json!([]));
+    let node = Node::start(&config(discovery.at, json!([])));
+    discovery.watched_from(1);
+    let check = || node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status();
+    assert_eq!(check(), 503);
+    discovery.set(json!([target("s-0", backend.at, "Ready")]));
+    discovery.watched_from(discovery.rev());
+    assert_eq!(check(), 200);
+}
+
 #[test]
 fn a_bad_list_keeps_the_last_good_one() {
     let backend = serving("yes");
