Tell every refused client when to come back

Now each refusal, given at once as before, names the class's aim: by then what is queued has been answered or given up. The settings' longest pause bounds it. The test fails without the change (no header).

--- a/node/tests/serving.rs
+++ b/node/tests/serving.rs
@@ -120,6 +120,25 @@
     assert_eq!(serves.count(), 8);
 }
 
+/// Whoever is refused is told when to come back, also where the site says that no client heeds it.
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    let away = always(Does::Writes(status(503, "X-Rejected: 1\r\n")));
+    let discovery = Discovery::new(json!([target("s-0", away.at, "Ready")]));
+    for passed_on in [true, false] {
+        let mut config = config(discovery.at, json!([]));
+        config["settings"]["policy-limits"]["retry-after"] = json!(passed_on);
+        let node = Node::start(&config);
+        until("the node is ready", || {
+            node.ask("GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n").status() == 200
+        });
+        let answer = node.ask(&get("r1", ""));
+        assert_eq!(answer.status(), 503);
+        let pause: f64 = answer.value("retry-after").expect("advice").parse().expect("seconds");
+        assert!(pause > 0.0 && pause <= 1.0, "{pause}");
+    }
+}
+
 /// A silent backend must not hold a request past its client's time.
 #[test]
 fn a_silent_backend_is_given_up() {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -125,7 +125,6 @@
     let rules = fields.object("rules")?;
     let goal = fields.object("goal")?;
     let flag = |name: &str| limits.map.get(name).and_then(Value::as_bool).unwrap_or(false);
-    let max_pause = if flag("retry-after") { limits.whole_or("max-retry-after-ns", 0)? } else { 0 };
     let settings = Settings {
         home: ZoneId(home as u32),
         zones: zones.len() as u32,
@@ -147,7 +146,8 @@
             second_copies: flag("second-copies"),
             probes: flag("probes"),
             cancel: flag("may-cancel"),
-            retry_after: max_pause,
+            // Advice is given even where the site says that no client heeds it: it costs nothing, and some do.
+            retry_after: limits.whole_or("max-retry-after-ns", 0)?,
         },
         rules: RuleFigures {
             answer_slack: rules.whole("answer-slack-ns")?,
--- a/src/api.rs
+++ b/src/api.rs
@@ -103,7 +103,7 @@
     pub probes: bool,
     /// Attempts may be cancelled.
     pub cancel: bool,
-    /// Longest pause a client honours after a refusal; 0 where pauses are not passed on.
+    /// Longest pause to advise after a refusal; 0 for no advice.
     pub retry_after: Nanos,
 }
 
@@ -428,7 +428,7 @@
     Refuse {
         /// The request.
         request: RequestId,
-        /// Advice how long to stay away; 0 for none.
+        /// Advice how long to stay away, until what is queued now has been answered or given up; 0 for none.
         pause: Nanos,
     },
     /// Final answer: failed, with no promise.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -99,13 +99,6 @@
         }
     }
 
-    /// Share of its capacity that it surely has by now; 1 when warm.
-    fn ramp(&self, now: Nanos, rules: &RuleFigures) -> f64 {
-        let Some(since) = self.member.online_since else { return 1.0 };
-        let age = now.saturating_sub(since) as f64 / rules.warm_after.max(1) as f64;
-        (rules.start_capacity + (1.0 - rules.start_capacity) * age).clamp(0.01, 1.0)
-    }
-
     /// Slowness against the fleet's mean, forgotten towards what its ramp implies.
     fn slowness(&self, now: Nanos, rules: &RuleFigures) -> f64 {
         let prior = 1.0 / self.ramp(now, rules);
@@ -215,7 +208,7 @@
         let over = self.over_share(tenant);
         let admit = if over > 0.0 && self.draw() < over { self.over_admit } else { admit };
         if past || (admit < 1.0 && self.draw() >= admit) {
-            self.end(arrival.request, self.settings.limits.retry_after, actions);
+            self.end(arrival.request, actions);
             return;
         }
         self.dispatch(arrival.request, actions);
@@ -285,15 +278,16 @@
     }
 
     /// The one place that ends requests: refused where trying again does no harm, failed otherwise.
-    fn end(&mut self, id: RequestId, pause: Nanos, actions: &mut Vec<Action>) {
+    fn end(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let ran = request.attempts.iter().any(Attempt::may_have_run);
-        let refusable = match self.settings.classes[request.class].effect {
+        let class = &self.settings.classes[request.class];
+        let refusable = match class.effect {
             Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
             Effect::Keyed { .. } | Effect::Once => !ran,
         };
         actions.push(if refusable {
-            Action::Refuse { request: id, pause: pause.min(self.settings.limits.retry_after) }
+            Action::Refuse { request: id, pause: class.aim.min(self.settings.limits.retry_after) }
         } else {
             Action::Fail { request: id }
         });
@@ -759,7 +753,7 @@
         };
         let is_late = |id: &RequestId| self.requests.get(id).is_some_and(late);
         for id in self.held.iter().copied().filter(is_late).collect::<Vec<_>>() {
-            self.end(id, self.settings.limits.retry_after, actions);
+            self.end(id, actions);
         }
     }
 
@@ -774,14 +768,12 @@
         if request.attempts.iter().any(Attempt::out) {
             return;
         }
-        let late = self.now >= request.aim_end;
         // What was turned away at once has cost little: its first retry is free.
         let unseen = request.attempts.len() == 1 && !request.attempts[0].may_have_run();
-        let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && !late;
-        let pause = if late { self.settings.limits.retry_after } else { 0 };
+        let again = (self.retry_tokens >= 1.0 || (unseen && self.many())) && self.now < request.aim_end;
         match again.then(|| self.choose(id)).flatten() {
             Some(to) if self.send(id, to, actions) => self.retry_tokens = (self.retry_tokens - 1.0).max(0.0),
-            _ => self.end(id, pause, actions),
+            _ => self.end(id, actions),
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,6 +144,13 @@
         Self { member, bias: 1.0, response: 1.0, ..Self::default() }
     }
 
+    /// Share of its capacity that it surely has by now; 1 when warm.
+    pub(crate) fn ramp(&self, now: Nanos, rules: &RuleFigures) -> f64 {
+        let Some(since) = self.member.online_since else { return 1.0 };
+        let age = now.saturating_sub(since) as f64 / rules.warm_after.max(1) as f64;
+        (rules.start_capacity + (1.0 - rules.start_capacity) * age).clamp(0.01, 1.0)
+    }
+
     pub(crate) fn size(&self) -> f64 {
         if self.member.size.is_finite() && self.member.size > 0.0 { self.member.size } else { 1.0 }
     }
