Try a server again 300 ms after it last looked slow, not seconds later

Cause: what slowness a node has measured is forgotten with a time constant of 3 s (Backend::slowness), and admits() takes even an idle server only at a slowness under 1.1. One bad spell, when the other node's requests crowd a room, thus shuts that room for this node for seconds after it has passed.

Now a server that holds none of this node's requests takes one if nothing was learned of it for 300 ms, which brings a fresh figure. The test fails without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -704,14 +704,15 @@
     /// Whether a send there would be answered in time. Own idleness is no proof: with many nodes, each
     /// sending one to a backend it holds nothing on jams that backend; so only one not known as slow.
     fn admits(&self, request: &Request, backend: &Backend) -> bool {
-        let late = self.now >= request.aim_end;
-        let end = if late { request.not_after } else { request.aim_end };
+        let end = if self.now >= request.aim_end { request.not_after } else { request.aim_end };
         let left = end.saturating_sub(self.now) as f64;
         let slowness = backend.slowness(self.now, &self.settings.rules);
         let stretch = slowness * backend.load(self.crowd());
         let view = &self.classes[request.class];
-        // With many nodes, all would pile onto the few backends that a late figure shows as free.
-        let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || self.many());
+        // With many nodes, all would pile onto the few backends that a late figure shows as free. What was
+        // slow some time ago may be free again, which only a send can show.
+        let stale = !backend.slow.younger_than(self.now, SLOW_FORGET / 10);
+        let idle = backend.in_flight == 0 && (slowness < IDLE_SLOW || stale || self.many());
         idle || stretch <= view.room.min(ADMIT * left / view.base)
     }
 
--- a/tests/troubles.rs
+++ b/tests/troubles.rs
@@ -214,3 +214,24 @@
     }
     assert!(late * 20 < asked, "{late} of {asked} held, with time for all");
 }
+
+/// What the other nodes send comes and goes: servers that were slow for all were left alone for seconds, with
+/// every request refused, though they had long been free.
+#[test]
+fn a_backend_that_was_slow_is_tried_again_soon() {
+    let mut node = Node::new(settings(Effect::Repeatable), fleet(1));
+    node.serve(200, |_| Report::default());
+    let mut held = false;
+    for _ in 0..100 {
+        let (request, actions) = node.ask(SECOND);
+        held = sent(&actions).is_none();
+        if held {
+            break;
+        }
+        node.now += 350 * MS;
+        node.settle_after(request, 0, Outcome::Served, 350 * MS, Report::default());
+    }
+    assert!(held, "slow servers take no more");
+    assert_eq!(sent(&node.pass(200 * MS)), None, "not so soon");
+    assert!(sent(&node.pass(150 * MS)).is_some(), "one request shows whether they still are");
+}
