Move the own bound on admission by what was sent, not by a share of what was asked

Its bound was 1.15 x served / asked over 3 s. `asked` holds the requests that the bound itself refused, and the clients' repeats of them, so it rises by 15% in 3 s at best; and with 16 requests a second chance alone takes it below 1. Ruled out: the share from the list (no load in it on this site) and the room per server, which ended hardly any request there.

At fault: `admit` and the count that it went by. The bound now takes a step up with each answer in time, and a larger one down with each that is late or sent away.

Room in the module: `expire`, `end` and `fleet` say the same in fewer lines.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,8 +68,10 @@
 const RESPONSE: (f64, f64) = (0.1, 2.0);
 /// Part of the aim, on the mean, that a zone's load may fill before arrivals are turned away.
 const ROOM: f64 = 0.7;
-/// Arrivals taken for each one that was lately answered in time (adaptive throttling).
-const OVERDRAW: f64 = 1.15;
+/// Steps of the own share of arrivals taken, for an answer in time and for one late or sent away (adaptive
+/// throttling): it holds where five in six are in time. Up to here, so that a single late one refuses nothing.
+const TAKEN_STEPS: (f64, f64) = (0.05, 0.25);
+pub(crate) const OVERDRAW: f64 = 1.5;
 /// Part of the difference to the wanted load that one list's figures correct, in the share of the arrivals
 /// that spills and the share that is taken; and the least of the latter, so that an end of the jam is seen.
 const GAIN: f64 = 0.5;
@@ -294,11 +296,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         let ran = request.attempts.iter().any(Attempt::may_have_run);
         let class = &self.settings.classes[request.class];
-        let refusable = match class.effect {
-            Effect::Repeatable | Effect::Keyed { group: Group::All, .. } => true,
-            Effect::Keyed { .. } | Effect::Once => !ran,
-        };
-        actions.push(if refusable {
+        let free = matches!(class.effect, Effect::Repeatable | Effect::Keyed { group: Group::All, .. });
+        actions.push(if free || !ran {
             Action::Refuse { request: id, pause: class.aim.min(self.settings.limits.retry_after) }
         } else {
             Action::Fail { request: id }
@@ -335,6 +334,14 @@
         self.learn(to, class, cost, load, &settled);
         self.judge(to, settled.outcome, actions);
         self.report(to, settled.report);
+        // Moved by what was sent: a share of what was asked would count what this bound itself has refused,
+        // and hold on to that long after the servers are idle again.
+        let step = match settled.outcome {
+            Outcome::Served if self.now <= aim_end => TAKEN_STEPS.0,
+            Outcome::Served | Outcome::TimedOut | Outcome::Full => -TAKEN_STEPS.1,
+            _ => 0.0,
+        };
+        self.own_taken = (self.own_taken + step).clamp(LEAST_TAKEN, OVERDRAW);
         if settled.ended || !open {
             if open && settled.outcome == Outcome::Served && (self.now <= aim_end || !self.many()) {
                 self.classes[class].served.add(self.now, 1.0);
@@ -493,16 +500,14 @@
     }
 
     /// Spreads what is taken over the classes, the worthiest for each unit of work first. The shared figures
-    /// are late, or absent where discovery is down: what came back in time of what was asked bounds it too.
+    /// are late, or absent where discovery is down: what came back in time of what was sent bounds it too.
     fn admit(&mut self) {
         let asked = self.asked();
-        let served: f64 = self.classes.iter().map(|class| class.served.now(self.now)).sum();
         let home = &self.zones[self.settings.home.0 as usize];
         // A node sees few answers: its own bound rests while the list shows home at half the threshold.
         let fresh = self.listed_at.is_some_and(|at| self.now.saturating_sub(at) < UTIL_TRUST);
         let calm = fresh && home.held < 0.5 * THRESHOLD / (1.0 - THRESHOLD);
-        let own = if calm { 1.0 } else { OVERDRAW * (served + 0.5) / (asked + 0.5) };
-        let taken = home.taken.min(own);
+        let taken = if calm { home.taken } else { home.taken.min(self.own_taken) };
         // A tenant that floods is turned away first, down to this node's part of its share.
         let over: f64 =
             (0..self.tenants.len()).map(|t| self.over_share(t) * self.tenants[t].now(self.now)).sum();
@@ -756,15 +761,13 @@
     /// Ends what can no longer be answered in time, while a refusal is still early.
     fn expire(&mut self, actions: &mut Vec<Action>) {
         let tick = self.tick();
-        let late = |request: &Request| {
-            let least = (self.classes[request.class].base * IDLE_LOAD * 0.5) as Nanos + tick;
-            request.phase == Phase::Held
-                && !request.attempts.iter().any(Attempt::out)
-                && (self.now + least >= request.aim_end || self.now + tick >= request.not_after)
-        };
-        let is_late = |id: &RequestId| self.requests.get(id).is_some_and(late);
-        for id in self.held.iter().copied().filter(is_late).collect::<Vec<_>>() {
-            self.end(id, actions);
+        for id in self.held.clone() {
+            let Some(held) = self.requests.get(&id).filter(|r| r.phase == Phase::Held) else { continue };
+            let least = (self.classes[held.class].base * IDLE_LOAD * 0.5) as Nanos + tick;
+            let late = self.now + least >= held.aim_end || self.now + tick >= held.not_after;
+            if late && !held.attempts.iter().any(Attempt::out) {
+                self.end(id, actions);
+            }
         }
     }
 
@@ -816,10 +819,8 @@
         }
         if scope != ListScope::Changes {
             let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
-            for backend in self.backends.values_mut() {
-                if !named.contains(&backend.member.backend) {
-                    backend.member.stage = Stage::Gone;
-                }
+            for backend in self.backends.values_mut().filter(|b| !named.contains(&b.member.backend)) {
+                backend.member.stage = Stage::Gone;
             }
         }
         let live = self.settings.weights == Weights::Live;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
-use crate::choice::{RETRY_SAVED, SHARED_VIEW, UTIL_SMOOTHING};
+use crate::choice::{OVERDRAW, RETRY_SAVED, SHARED_VIEW, UTIL_SMOOTHING};
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
 /// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
@@ -223,6 +223,8 @@
     /// Requests of each tenant, and the share of those over their shares that is taken.
     pub(crate) tenants: Vec<Rate>,
     pub(crate) over_admit: f64,
+    /// Share of the arrivals taken by what came back of the own sends; it may lie above 1.
+    pub(crate) own_taken: f64,
     pub(crate) overflow: Vec<ZoneId>,
     pub(crate) qualified: usize,
     pub(crate) refresh_at: Nanos,
@@ -255,6 +257,7 @@
             settings,
             tenants,
             over_admit: 1.0,
+            own_taken: OVERDRAW,
             seed,
             random: seed ^ 0x9e37_79b9_7f4a_7c15,
             now,
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -328,3 +328,38 @@
     // there by then, and three times as much is the rule's limit.
     assert!((15..90).contains(&to_cold), "{to_cold} to the cold backend");
 }
+
+/// The own bound was a share of what was asked, and so counted its own refusals: two thirds were refused for
+/// many seconds after a jam, of servers that answered at once, and one late answer in a calm second cost some.
+#[test]
+fn the_own_bound_lets_go_soon_after_a_jam() {
+    let given = Settings { nodes: 60, ..settings(Effect::Once) };
+    let mut node = Node::seeded(3, given, (0..30).map(|b| member(b, b / 10)).collect());
+    // Sixteen requests a second: of a second's, how many are sent.
+    let mut second = |outcome: fn(usize) -> Outcome| {
+        let sent_ones = (0..16).filter(|&turn| {
+            let (request, actions) = node.ask(SECOND);
+            node.pass(50 * MS);
+            let to = sent(&actions);
+            if to.is_some() {
+                node.settle_after(request, 0, outcome(turn), 50 * MS, Report::default());
+            }
+            node.pass(10 * MS);
+            to.is_some()
+        });
+        sent_ones.count()
+    };
+    let calm: usize =
+        (0..10).map(|_| second(|turn| if turn == 7 { Outcome::TimedOut } else { Outcome::Served })).sum();
+    assert!(calm >= 158, "{calm} of 160 with one late answer in 16");
+    (0..6).for_each(|_| {
+        second(|_| Outcome::TimedOut);
+    });
+    let jammed = second(|_| Outcome::TimedOut);
+    assert!(jammed <= 6, "{jammed} of 16 sent into a jam");
+    (0..6).for_each(|_| {
+        second(|_| Outcome::Served);
+    });
+    let after: usize = (0..2).map(|_| second(|_| Outcome::Served)).sum();
+    assert!(after >= 30, "{after} of 32 sent 6 s after the jam");
+}
