--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,7 +69,7 @@
 /// Part of the aim, on the mean, that a zone's load may fill before arrivals are turned away.
 const ROOM: f64 = 0.7;
 /// Steps of the own share of arrivals taken, for an answer in time and for one late or sent away (adaptive
-/// throttling): it holds where five in six are in time. Up to here, so that a single late one refuses nothing.
+/// throttling): it holds where five in six are in time. Up to here, so that one late answer refuses nothing.
 const TAKEN_STEPS: (f64, f64) = (0.05, 0.25);
 pub(crate) const OVERDRAW: f64 = 1.5;
 /// Part of the difference to the wanted load that one list's figures correct, in the share of the arrivals
