Let a zone that comes back cold carry at least one request a server at a time

Checked with the reasons that nodes of the returned zone found no room at home: three in four times the cold budget (capacity 6 million a node, 30 to 38 million where the other zone was seen), the rest that the server was held to be slow, with nothing in flight on it. Ruled out: the list (told within 0.4 s) and the subsets. From 1,500 sends to cold servers: at 0.2 of its warmth one answers in 70 ms, at 0.3 in 52 ms, a warm idle one in 40; they were held to take 5 and 3 times as long.

At fault: `cold_budget` went by the little that had been served in that zone, which sinks by 2% a second while the zone is gone; any server can do one request at a time, so that is the least now.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -373,24 +373,21 @@
         let view = &mut self.classes[class];
         let unit = settled.elapsed as f64 / load;
         let slow = (unit / view.base.max(1.0)).min(SLOW_CLAMP * backend.slow.value.max(1.0));
-        match settled.outcome {
-            Outcome::Served => {
-                backend.slow.feed(self.now, slow, SLOW_SMOOTHING, 0.1);
-                backend.served.add(self.now, cost);
-                view.samples = (view.samples + 1.0).min(BASE_SAMPLES);
-                // Rises slowly, so that a jam does not come to pass for the normal state.
-                let weight = if unit > view.base && view.samples > 50.0 { BASE_RISE } else { 1.0 };
-                view.base += (unit.min(SLOW_CLAMP * view.base) - view.base) * weight / (view.samples + 4.0);
-                if let Some(zone) = self.zones.get_mut(backend.member.zone.0 as usize) {
-                    let elapsed = settled.elapsed as f64;
-                    zone.least_elapsed = Some(zone.least_elapsed.map_or(elapsed, |least| least.min(elapsed)));
-                }
-            }
-            // No answer at all tells of a delay of at least the time waited.
-            Outcome::TimedOut if slow > backend.slow.value => {
-                backend.slow.feed(self.now, slow, SLOW_SMOOTHING, 0.1);
+        // No answer at all tells of a delay of at least the time waited.
+        let longer = settled.outcome == Outcome::TimedOut && slow > backend.slow.value;
+        if settled.outcome == Outcome::Served || longer {
+            backend.slow.feed(self.now, slow, SLOW_SMOOTHING, 0.1);
+        }
+        if settled.outcome == Outcome::Served {
+            backend.served.add(self.now, cost);
+            view.samples = (view.samples + 1.0).min(BASE_SAMPLES);
+            // Rises slowly, so that a jam does not come to pass for the normal state.
+            let weight = if unit > view.base && view.samples > 50.0 { BASE_RISE } else { 1.0 };
+            view.base += (unit.min(SLOW_CLAMP * view.base) - view.base) * weight / (view.samples + 4.0);
+            if let Some(zone) = self.zones.get_mut(backend.member.zone.0 as usize) {
+                let elapsed = settled.elapsed as f64;
+                zone.least_elapsed = Some(zone.least_elapsed.map_or(elapsed, |least| least.min(elapsed)));
             }
-            _ => {}
         }
     }
 
@@ -699,16 +696,17 @@
             return true;
         }
         let since = self.now.saturating_sub(rules.fall_span + self.settings.quantum);
-        let recent = backend.cold_sends.iter().rev().take_while(|(at, _)| *at >= since);
-        let spent: f64 = recent.map(|(_, cost)| cost).sum();
+        let spent: f64 = backend.cold_sends.iter().filter(|(at, _)| *at >= since).map(|send| send.1).sum();
         let span = rules.fall_span as f64 / SECOND as f64;
         // Only nodes with it in their subset send there, and these divide the budget.
         let zone = self.zones.get(backend.member.zone.0 as usize).copied().unwrap_or_default();
         if self.many() && backend.lot > zone.subset {
             return false;
         }
-        let capacity = zone.capacity / self.reach(backend.member.zone);
-        let budget = COLD_SHARE * rules.tip_multiple * ramp * backend.size() * capacity * span;
+        // Whatever the others carry: one request at a time is a second of work in a second.
+        let carried = (zone.capacity * backend.size()).max(SECOND as f64 / self.crowd());
+        let capacity = carried / self.reach(backend.member.zone);
+        let budget = COLD_SHARE * rules.tip_multiple * ramp * capacity * span;
         // A budget under one request is spent by chance, or many nodes' first sends would exceed it together;
         // one of a zone's nodes or so always tries, as no figure may come from elsewhere.
         let epoch = self.now / rules.fall_span.max(1);
@@ -728,7 +726,8 @@
         let stretch = slowness * backend.load(self.crowd());
         let view = &self.classes[request.class];
         // What was slow some time ago may be free again, which only a send can show; of those who use it one.
-        let users = if self.many() { self.crowd() * self.reach(backend.member.zone) } else { 1.0 };
+        let cold = backend.ramp(self.now, &self.settings.rules) < 1.0;
+        let users = if self.many() && !cold { self.crowd() * self.reach(backend.member.zone) } else { 1.0 };
         let trial = (SLOW_FORGET as f64 / 10.0 * users) as Nanos;
         let idle =
             backend.in_flight == 0 && (slowness < IDLE_SLOW || !backend.slow.younger_than(self.now, trial));
@@ -868,11 +867,8 @@
                 *sum = (sum.0 + 1.0, sum.1 + held, sum.2 + backend.size());
             }
         }
-        let asked = self.asked();
-        let arrivals = asked * self.crowd() * 2.0 * self.list_period;
-        for (zone, &(count, total, _)) in self.zones.iter_mut().zip(&sums) {
-            zone.held = total / f64::max(count, 1.0);
-        }
+        let arrivals = self.asked() * self.crowd() * 2.0 * self.list_period;
+        self.zones.iter_mut().zip(&sums).for_each(|(zone, sum)| zone.held = sum.1 / f64::max(sum.0, 1.0));
         for backend in self.backends.values_mut() {
             let (Some(&(count, total, size)), Some(held)) =
                 (sums.get(backend.member.zone.0 as usize), backend.held)
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -388,3 +388,50 @@
     assert!((5..25).contains(&used[1]), "{used:?} sent to the others and the slow one");
     assert!(used[0] > 800, "{used:?}");
 }
+
+/// Sends to the fifteen backends of a home zone in the 4 s after it has come back cold, by its thirty nodes of
+/// sixteen requests a second. A cold backend answers after `took`, all others after 40 ms.
+fn sent_to_a_cold_home(took: Nanos) -> usize {
+    let given = Settings { nodes: 60, zones: 2, ..settings(Effect::Once) };
+    let home = |since| (0..15).map(|b| Member { online_since: since, ..member(b, 0) }).collect::<Vec<_>>();
+    let gone = || (0..15).map(|b| Member { stage: Stage::Gone, ..member(b, 0) }).collect::<Vec<_>>();
+    let at_home = |to: BackendId| to.0 < 15;
+    let seconds = |node: &mut Node, seconds: usize, took: Nanos| {
+        let one = |node: &mut Node| {
+            let (request, actions) = node.ask(SECOND);
+            let to = sent(&actions)?;
+            let took = if at_home(to) { took } else { 40 * MS };
+            node.now += took;
+            node.settle_after(request, 0, Outcome::Served, took, Report::default());
+            Some(to)
+        };
+        let mut to_home = 0;
+        for _ in 0..seconds * 16 {
+            let began = node.now;
+            to_home += usize::from(one(node).is_some_and(at_home));
+            node.now = node.now.max(began + SECOND / 16);
+        }
+        to_home
+    };
+    let mut to_home = 0;
+    for seed in 0..30 {
+        let mut node = Node::seeded(seed, given.clone(), home(None));
+        node.list(ListScope::Changes, (15..30).map(|b| member(b, 1)).collect());
+        seconds(&mut node, 20, 40 * MS);
+        node.list(ListScope::Changes, gone());
+        seconds(&mut node, 120, 40 * MS);
+        let since = Some(node.now - 4 * SECOND);
+        node.list(ListScope::Changes, home(since));
+        to_home += seconds(&mut node, 4, took);
+    }
+    to_home
+}
+
+/// A zone that came back cold was starved: what its servers carry was taken from the little served there last,
+/// which sank while it was gone, and they were held to be as slow as they were cold.
+#[test]
+fn a_zone_that_comes_back_cold_is_used() {
+    // One request at a time at 30% to 45% of warmth: 9 a second each, and three times that is the limit.
+    let to_home = sent_to_a_cold_home(100 * MS);
+    assert!((270..1600).contains(&to_home), "{to_home} of 1920 to the home that is back");
+}
