Send a cold server more while it answers sooner than its warmth implies

Seen: with the floor in place, servers of the returned zone still got 6 to 8 sends a second at 0.4 of their warmth and answered them like warm ones, while requests were refused next door.

Checked on the same logs: the budget was what held them back, and it rests on the least that is certain (what the others were seen to carry, at the least warmth). What was never heeded is the server's own answer: one that is short of room answers later than that, and long before it falls over.

At fault: `cold_budget`. The node's share now doubles at most as its own answers come sooner than the warmth implies, and is back where it was once they do not, or are old: 0.8 of the limit for what is certain, and no node begins above 0.4.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -81,8 +81,10 @@
 /// How far one list moves a backend's lasting share, and the bounds of that share.
 const BIAS_STEP: f64 = 0.15;
 const BIAS: (f64, f64) = (0.1, 4.0);
-/// Part of the cold budget that nodes together use; the rest is for chance and for late figures.
+/// Part of the cold budget that nodes together use, and what multiplies it at most once a cold backend has
+/// proved itself; the rest is for chance and for late figures.
 const COLD_SHARE: f64 = 0.4;
+const COLD_PROVEN: f64 = 2.0;
 /// Parts by which the measured capacity rises and falls in a refresh: in about 2 s, and in a minute.
 const CAPACITY_RISE: f64 = 0.05;
 const CAPACITY_FALL: f64 = 0.002;
@@ -706,7 +708,9 @@
         // Whatever the others carry: one request at a time is a second of work in a second.
         let carried = (zone.capacity * backend.size()).max(SECOND as f64 / self.crowd());
         let capacity = carried / self.reach(backend.member.zone);
-        let budget = COLD_SHARE * rules.tip_multiple * ramp * capacity * span;
+        // One that answers sooner than its ramp implies has room: what it was held to carry was too low.
+        let proven = (1.0 / (ramp * backend.slowness(self.now, rules))).clamp(1.0, COLD_PROVEN);
+        let budget = COLD_SHARE * proven * rules.tip_multiple * ramp * capacity * span;
         // A budget under one request is spent by chance, or many nodes' first sends would exceed it together;
         // one of a zone's nodes or so always tries, as no figure may come from elsewhere.
         let epoch = self.now / rules.fall_span.max(1);
