Turn away first what is past its aim, and let no client's clock close the bound

Checked by arrivals: first tries come with 495 ms to go, clients' further tries with 380, 260 or 180; in the jam these are 45% of all. At the node only 160 of 4,000 answers took over the aim: the late ones are further tries, past the aim of their first when they came. Ruled out: waiting in the node (9 in 10 were sent at once) and the servers' own delay.

At fault: `arrive` counted a further try's aim from the first one only where late answers are worth nothing; here they are worth a fifth, and took a first try's room as an equal. It does so for many nodes now, and what is past its aim is turned away first, once anything is. It goes by what the server took now, and passes over time-outs where the client had less than half the aim left.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -171,6 +171,7 @@
 
     fn arrive(&mut self, arrival: Arrival, actions: &mut Vec<Action>) {
         let class = (arrival.class.0 as usize).min(self.classes.len() - 1);
+        let many = self.many();
         let view = &mut self.classes[class];
         let cost = arrival.hint.map_or(view.base * IDLE_LOAD, |hint| hint as f64).max(1.0);
         view.cost += (cost - view.cost) * if view.cost > 0.0 { COST_SMOOTHING } else { 1.0 };
@@ -180,14 +181,12 @@
         let wait = arrival.not_after.saturating_sub(self.now);
         view.longest_try = view.longest_try.max(wait);
         let worthless_late = self.settings.classes[class].late_share == 0.0;
-        let again = arrival.repeat || !self.settings.repeats_marked;
-        let first = if again && worthless_late && wait < view.longest_try - view.longest_try / 8 {
-            arrival.not_after.saturating_sub(self.settings.classes[class].deadline).min(self.now)
-        } else {
-            self.now
-        };
-        let (admit, aim) = (view.admit, self.settings.classes[class].aim);
-        let aim_end = arrival.not_after.min(first + aim);
+        let again = (arrival.repeat || !self.settings.repeats_marked) && (worthless_late || many);
+        let again = again && wait < view.longest_try - view.longest_try / 8;
+        let began = arrival.not_after.saturating_sub(self.settings.classes[class].deadline);
+        let first = if again { began.min(self.now) } else { self.now };
+        let admit = view.admit;
+        let aim_end = arrival.not_after.min(first + self.settings.classes[class].aim);
         let request = Request {
             class,
             cost,
@@ -203,13 +202,11 @@
         self.refresh(actions);
         // Guards against jams that feed on their own repeats: what is past its aim, or more than the servers
         // can do in time, is turned away before it costs them anything.
-        let past = aim_end <= self.now && worthless_late;
+        let past = aim_end <= self.now && (worthless_late || (many && admit < 1.0));
+        let tenant = arrival.tenant.map_or(usize::MAX, |tenant| tenant as usize);
         if !past {
             self.classes[class].asked.add(self.now, 1.0);
-        }
-        let tenant = arrival.tenant.map_or(usize::MAX, |tenant| tenant as usize);
-        if let Some(asked) = self.tenants.get_mut(tenant).filter(|_| !past) {
-            asked.add(self.now, 1.0);
+            self.tenants.get_mut(tenant).into_iter().for_each(|asked| asked.add(self.now, 1.0));
         }
         let over = self.over_share(tenant);
         let admit = if over > 0.0 && self.draw() < over { self.over_admit } else { admit };
@@ -330,7 +327,7 @@
             return;
         };
         attempt.outcome = Some(settled.outcome);
-        let (to, load, zone) = (attempt.backend, attempt.load, attempt.zone);
+        let (to, load, zone, sent) = (attempt.backend, attempt.load, attempt.zone, attempt.sent);
         let open = request.phase != Phase::Ended;
         self.count_own(zone, -1.0);
         self.learn(to, class, cost, load, &settled);
@@ -338,8 +335,11 @@
         self.report(to, settled.report);
         // Moved by what was sent: a share of what was asked would count what this bound itself has refused,
         // and hold on to that long after the servers are idle again.
+        // It goes by what the server took: a client's further try may have little time left.
+        let aim = self.settings.classes[class].aim;
         let step = match settled.outcome {
-            Outcome::Served if self.now <= aim_end => TAKEN_STEPS.0,
+            Outcome::Served if settled.elapsed <= aim => TAKEN_STEPS.0,
+            Outcome::TimedOut if aim_end < sent + aim / 2 => 0.0,
             Outcome::Served | Outcome::TimedOut | Outcome::Full => -TAKEN_STEPS.1,
             _ => 0.0,
         };
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -443,3 +443,55 @@
     assert!(prompt as f64 > 1.3 * slow as f64, "{prompt} to prompt ones, {slow} to slow ones");
     assert!(prompt < 1600, "{prompt} to prompt ones");
 }
+
+/// In a jam 45% of the arrivals were clients' further tries. What was past its aim by then, and worth a fifth,
+/// took the room of first tries.
+#[test]
+fn a_further_try_past_its_aim_makes_room_for_first_tries_in_a_jam() {
+    let mut given = Settings { nodes: 60, ..settings(Effect::Once) };
+    given.classes[0].late_share = 0.2;
+    let mut node = Node::seeded(3, given, (0..30).map(|b| member(b, b / 10)).collect());
+    let taken = |node: &mut Node, wait: Nanos, outcome: Outcome| {
+        let (request, actions) = node.ask(wait);
+        node.pass(60 * MS);
+        let to = sent(&actions);
+        if to.is_some() {
+            node.settle_after(request, 0, outcome, 60 * MS, Report::default());
+        }
+        usize::from(to.is_some())
+    };
+    // The deadline is 1 s and the aim 400 ms: a try with 300 ms left belongs to one of 700 ms ago.
+    let calm: usize = (0..40).map(|_| taken(&mut node, SECOND, Outcome::Served)).sum();
+    let calm_again: usize = (0..40).map(|_| taken(&mut node, 300 * MS, Outcome::Served)).sum();
+    assert!(calm >= 39 && calm_again >= 39, "{calm} and {calm_again} of 40 while there is room");
+    (0..4).for_each(|_| {
+        taken(&mut node, SECOND, Outcome::Full);
+        node.pass(SECOND);
+    });
+    let (mut first, mut further) = (0, 0);
+    for turn in 0..60 {
+        further += taken(&mut node, 300 * MS, Outcome::Served);
+        first += taken(&mut node, SECOND, if turn % 8 == 0 { Outcome::Full } else { Outcome::Served });
+    }
+    assert!(first > 10 && further < first / 3, "{first} first and {further} further tries of 60");
+}
+
+/// The own bound went by the client's time: a further try answered in 60 ms, but too late for it, closed it.
+#[test]
+fn what_a_client_has_no_time_left_for_is_no_sign_of_busy_servers() {
+    let mut given = Settings { nodes: 60, ..settings(Effect::Once) };
+    given.classes[0].late_share = 0.2;
+    let mut node = Node::seeded(3, given, (0..30).map(|b| member(b, b / 10)).collect());
+    let mut taken = 0;
+    for turn in 0..160 {
+        // Every other one is a further try with 40 ms left of its aim.
+        let wait = if turn % 2 == 0 { SECOND } else { 640 * MS };
+        let (request, actions) = node.ask(wait);
+        node.now += 60 * MS;
+        if sent(&actions).is_some() {
+            taken += usize::from(turn % 2 == 0);
+            node.settle_after(request, 0, Outcome::Served, 60 * MS, Report::default());
+        }
+    }
+    assert!(taken >= 78, "{taken} of 80 first tries taken");
+}
