Blame a server whose connections never come up, and leave a silent zone for another

In 4 s 915 ended as never sent and 632 as not connected, each 150 to 200 ms of its client's time; not one server was ejected in 6 s.

Checked by home and server zone, with the reasons. A request is mostly given up before the connect time-out of 200 ms, and then ended as `Moot`, which is blamed on nobody; one that was connecting for longer counted as a full table and put the next try off by 0.1 to 1.6 s. Once all four of a subset were out, the node went through the other servers of the same dead zone.

At fault: `Pool::run` in `node/src/upstream.rs`, which took any request not written for one that says nothing, `judge` for connects refused at once and those that never come up alike, and `pick`, which went past a dead subset before another zone.

Two tests: without the change the connect ends as `Moot`, and 60 of 350 sends go to the silent zone (under 50).

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -28,6 +28,8 @@
 /// An idle connection is kept for this part of the backends' limit: one that is written to as its backend
 /// closes it ends as a reset, and what was sent on it may have run.
 const IDLE_PART: u64 = 2;
+/// A connection that is not up after this part of the limit says something of the backend.
+const SILENT_PART: u64 = 4;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -101,23 +103,42 @@
 }
 
 impl Pool {
-    async fn run(&self, node: Node, mut launch: Launch) {
-        let written = Cell::new(false);
+    async fn run(&self, node: Node, launch: Launch) {
+        let ticket = launch.ticket;
+        let ending = self.end_of(&node, launch).await;
+        node.settled(ticket, ending);
+    }
+
+    async fn end_of(&self, node: &Node, mut launch: Launch) -> Ending {
+        let (written, connecting) = (Cell::new(false), Cell::new(None));
         let withdrawn = std::mem::replace(&mut launch.withdrawn, tokio::sync::oneshot::channel().1);
         // Never written, it never ran: a refusal is still open to the module then.
         let unless_written = |outcome| if written.get() { outcome } else { Outcome::Moot };
-        let ending = tokio::select! {
+        tokio::select! {
             biased;
             _ = withdrawn => Ending::bare(unless_written(Outcome::Cancelled)),
-            ending = self.attempt(&node, &launch, &written) => ending,
-            () = sleep_until(self.clock.instant(launch.give_up)) => {
-                Ending::bare(unless_written(Outcome::TimedOut))
-            }
-        };
-        node.settled(launch.ticket, ending);
+            ending = self.attempt(node, &launch, &written, &connecting) => ending,
+            () = sleep_until(self.clock.instant(launch.give_up)) => Ending::bare(match connecting.get() {
+                Some(since) if self.is_silent(since) => Outcome::ConnectFailed,
+                _ => unless_written(Outcome::TimedOut),
+            }),
+        }
+    }
+
+    /// Whether a connection begun then should long be up. Requests are often given up sooner than connections:
+    /// nobody would ever learn of a machine that says nothing.
+    fn is_silent(&self, since: Nanos) -> bool {
+        self.clock.now().saturating_sub(since) >= self.links.connect_timeout / SILENT_PART
     }
 
-    async fn attempt(&self, node: &Node, launch: &Launch, written: &Cell<bool>) -> Ending {
+    /// Tells by `written` whether the request has been, and by `connecting` since when a connection is coming up.
+    async fn attempt(
+        &self,
+        node: &Node,
+        launch: &Launch,
+        written: &Cell<bool>,
+        connecting: &Cell<Option<Nanos>>,
+    ) -> Ending {
         let place = (launch.backend, launch.endpoint);
         loop {
             let (mut link, fresh) = match self.take(place) {
@@ -125,10 +146,15 @@
                 // Short of descriptors nobody was asked: that says nothing against the backend.
                 None => match self.slot() {
                     None => return Ending::bare(Outcome::Moot),
-                    Some(slot) => match self.connect(launch.endpoint, slot).await {
-                        Some(link) => (link, true),
-                        None => return Ending::bare(Outcome::ConnectFailed),
-                    },
+                    Some(slot) => {
+                        connecting.set(Some(self.clock.now()));
+                        let link = self.connect(launch.endpoint, slot).await;
+                        connecting.set(None);
+                        match link {
+                            Some(link) => (link, true),
+                            None => return Ending::bare(Outcome::ConnectFailed),
+                        }
+                    }
                 },
             };
             // A pooled connection found dead before anything was written to it costs nothing: the next one.
@@ -278,9 +304,14 @@
 
 #[cfg(test)]
 mod tests {
+    use std::future::{Future, poll_fn};
+    use std::task::Poll;
+
     use brookfield::{ListScope, Stage};
+    use tokio::net::TcpSocket;
 
     use super::*;
+    use crate::driver::Listed;
     use crate::driver::tests::{SECOND, asked, listed, node};
 
     /// The node's own want of descriptors once counted against the backends, and ejected good ones.
@@ -292,7 +323,33 @@
         let launch = kept.launches.borrow_mut().pop().expect("an attempt");
         let links = Links { idle: SECOND, connect_timeout: SECOND };
         let upstream = Upstream::new(links, Clock::start(), 0);
-        let ending = upstream.pool().attempt(&node, &launch, &Cell::new(false)).await;
+        let ending = upstream.pool().attempt(&node, &launch, &Cell::default(), &Cell::default()).await;
         assert_eq!(ending.outcome, Outcome::Moot);
     }
+
+    /// Requests were given up sooner than connections that never came up, and blamed nobody: a lost zone went on
+    /// being tried.
+    #[tokio::test]
+    async fn a_connection_that_never_comes_up_counts_also_if_the_request_ends_first() {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("an address");
+        let listener = socket.listen(1).expect("a listener");
+        let endpoint = listener.local_addr().expect("its address");
+        // Nobody accepts: once its queue is full a listener says nothing to further connections.
+        let mut queue: Vec<_> = (0..16).map(|_| Box::pin(TcpStream::connect(endpoint))).collect();
+        for connecting in &mut queue {
+            poll_fn(|context| Poll::Ready(connecting.as_mut().poll(context).is_ready())).await;
+        }
+        let (node, kept) = node(SECOND);
+        node.fleet(ListScope::Full, vec![Listed { endpoint, ..listed("s", Stage::InService) }]);
+        let _waiting = node.submit(asked(60 * SECOND));
+        let mut launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        let (_withdraw, withdrawn) = tokio::sync::oneshot::channel();
+        launch.withdrawn = withdrawn;
+        launch.give_up = node.clock().now() + SECOND / 4;
+        let links = Links { idle: SECOND, connect_timeout: SECOND };
+        let upstream = Upstream::new(links, node.clock(), 8);
+        let ending = upstream.pool().end_of(&node, launch).await;
+        assert_eq!(ending.outcome, Outcome::ConnectFailed);
+    }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,6 +53,8 @@
 pub(crate) const RETRY_SAVED: f64 = 10.0;
 /// Failures in a row (a broken or refused connection counts double) that make an outlier.
 const EJECT_AFTER: u32 = 6;
+/// A connection that was not refused by then is to a machine that says nothing.
+const SILENT: Nanos = 40 * MS;
 /// First ejection; doubled each time up to 2^5.
 const EJECT_FOR: Nanos = SECOND;
 /// Wait after a backend sent work away as full; doubled up to 2^4 while it goes on.
@@ -331,7 +333,7 @@
         let open = request.phase != Phase::Ended;
         self.count_own(zone, -1.0);
         self.learn(to, class, cost, load, &settled);
-        self.judge(to, settled.outcome, actions);
+        self.judge(to, &settled, actions);
         self.report(to, settled.report);
         // Moved by what was sent: a share of what was asked would count what this bound itself has refused,
         // and hold on to that long after the servers are idle again.
@@ -545,8 +547,15 @@
         if !under && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
-        // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can.
-        self.overflow.iter().find_map(|&zone| self.pick(id, zone))
+        // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can. Where a
+        // subset is dead its zone may well be; past it, to all of home, only when no other zone is left.
+        let to = self.overflow.iter().find_map(|&zone| self.pick(id, zone));
+        let own = |b: &Backend| self.zones.get(b.member.zone.0 as usize).is_some_and(|z| b.lot <= z.subset);
+        let lives = |b: &Backend| b.member.stage == Stage::InService && b.health == Health::Healthy;
+        if to.is_some() || self.backends.values().any(|b| own(b) && lives(b)) {
+            return to;
+        }
+        self.pick_among(id, home, u64::MAX)
     }
 
     // 4. Pick inside a zone.
@@ -554,16 +563,10 @@
     /// Among the permitted backends that would answer in time: with few nodes the one with the least expected
     /// delay; with many one by chance, weighted by size and by what all nodes have been told.
     fn pick(&self, id: RequestId, zone: ZoneId) -> Option<BackendId> {
-        if !self.many() {
-            return self.pick_among(id, zone, u64::MAX);
-        }
         // Many nodes on every backend would fill its table of connections and pay for opening them: each
-        // keeps to a few by its own lots, and goes past them only when all of them are out of order.
-        // One that is busy is still its own: the others have nodes of their own, and are as busy.
+        // keeps to a few by its own lots. One that is busy is still its own: the others are as busy.
         let subset = self.zones.get(zone.0 as usize)?.subset;
-        let lives = |b: &Backend| b.member.stage == Stage::InService && b.health == Health::Healthy;
-        let near = self.backends.values().any(|b| b.member.zone == zone && b.lot <= subset && lives(b));
-        self.pick_among(id, zone, if near { subset } else { u64::MAX })
+        self.pick_among(id, zone, if self.many() { subset } else { u64::MAX })
     }
 
     fn pick_among(&self, id: RequestId, zone: ZoneId, subset: u64) -> Option<BackendId> {
@@ -617,17 +620,19 @@
     }
 
     /// Ejects an outlier, readmits after two served trials.
-    fn judge(&mut self, id: BackendId, outcome: Outcome, actions: &mut Vec<Action>) {
+    fn judge(&mut self, id: BackendId, settled: &Settlement, actions: &mut Vec<Action>) {
+        let outcome = settled.outcome;
         let weight = match outcome {
             Outcome::Served => 0,
             Outcome::Error | Outcome::TimedOut | Outcome::Full => 1,
             Outcome::ConnectFailed | Outcome::Reset => 2,
             Outcome::Cancelled | Outcome::Moot => return,
         };
-        let turned_away = outcome == Outcome::Full || (outcome == Outcome::ConnectFailed && self.many());
+        let full = outcome == Outcome::ConnectFailed && self.many() && settled.elapsed < SILENT;
+        let turned_away = outcome == Outcome::Full || full;
         let Some(backend) = self.backends.get_mut(&id) else { return };
         // Sent away at once, again and again, a backend looks idle and would draw all traffic. With many
-        // nodes a refused connection may mean a full table just as well as a dead process.
+        // nodes a refused connection may mean a full table as well as a dead process; a silent one does not.
         if turned_away {
             backend.full_until = self.now + (FULL_FOR << backend.full_in_row.min(4));
             backend.full_in_row += 1;
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -495,3 +495,33 @@
     }
     assert!(taken >= 78, "{taken} of 80 first tries taken");
 }
+
+/// A zone that had gone silent was tried server by server, all of home: connects that never come up only put
+/// off the next try, and a dead subset led on to the rest of its zone.
+#[test]
+fn a_silent_zone_is_left_for_another_one() {
+    let given = Settings { nodes: 40, zones: 2, ..settings(Effect::Once) };
+    let mut node = Node::seeded(3, given, (0..40).map(|b| member(b, b / 20)).collect());
+    node.now += SECOND;
+    let mut tried = std::collections::BTreeSet::new();
+    let (mut to_home, mut served) = (0, 0);
+    for _ in 0..320 {
+        let (request, actions) = node.ask(SECOND);
+        node.now += 60 * MS;
+        let (mut to, mut attempt) = (sent(&actions), 0);
+        while let Some(backend) = to {
+            let (outcome, took) = if backend.0 < 20 {
+                to_home += 1;
+                tried.insert(backend);
+                (Outcome::ConnectFailed, 200 * MS)
+            } else {
+                served += 1;
+                (Outcome::Served, 40 * MS)
+            };
+            to = sent(&node.settle_after(request, attempt, outcome, took, Report::default()));
+            attempt += 1;
+        }
+    }
+    assert!(tried.len() <= 4, "{} servers of the silent zone tried", tried.len());
+    assert!(to_home < 50 && served > 200, "{to_home} sent to the silent zone, {served} served by the other");
+}
