Wait after a failed call to discovery, whatever was wished for before it

In the logs of 100 nodes 113 of 480 failed calls followed another failed one of the same node within 0.3 ms, 49 of them in one tenth of a second after the release; these got no connection, and the node's first wait was gone.

Checked: the module waits 0.2 to 0.4 s before it wishes for the next call, doubled up to 4.8 s and jittered, and the network code honours that wish. Ruled out: calls given up for lateness (none, all 503 or no connection) and the fixed wait of 5 s, which hardly ever came first.

At fault: `Node::fleet_failed` in `node/src/driver.rs`. The module's wish at its start is kept as a permit that nobody has used, since the watch calls at once by itself; the first failure finds it and skips the wait. A wish from before a failure is dropped now.

The test has the call made again at once without the change, and waits for the module's next wish with it.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -328,8 +328,10 @@
         self.tell(|driver, errands| driver.fleet(scope, list, errands));
     }
 
-    /// A call to discovery has failed.
+    /// A call to discovery has failed. A wish for one from before that, such as the one at the start, has been
+    /// met by this call: kept, it would have the next call made at once, by all nodes that started together.
     pub fn fleet_failed(&self) {
+        std::pin::pin!(self.asked.notified()).enable();
         self.tell(|driver, errands| driver.hear(Event::FleetFailed, errands));
     }
 
@@ -636,7 +638,11 @@
     }
 
     pub fn node(drain_grace: Nanos) -> (Node, Rc<Kept>) {
-        let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": "pushed",
+        node_with(drain_grace, "pushed")
+    }
+
+    fn node_with(drain_grace: Nanos, discovery: &str) -> (Node, Rc<Kept>) {
+        let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": discovery,
             "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
                 "deadline-ns": 4_000_000_000u64}],
             "policy-limits": {"attempts-cap": 3}, "goal": {},
@@ -771,4 +777,24 @@
         assert!((4_000_000..60 * SECOND).contains(&age), "{age}");
         assert!(kept.launches.borrow().is_empty());
     }
+
+    /// Restarted nodes whose first call was turned away all called again in the same millisecond.
+    #[test]
+    fn a_failed_call_is_not_made_again_on_a_wish_from_before() {
+        let (node, _kept) = node_with(SECOND, "on_request");
+        let wanted = |node: &Node| {
+            let mut wanted = std::pin::pin!(node.discovery_wanted());
+            wanted.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
+        };
+        node.fleet_failed();
+        assert!(!wanted(&node), "called again at once");
+        // The module's next wish, after its wait, is heeded.
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+        runtime.block_on(async {
+            tokio::select! {
+                () = node.discovery_wanted() => {}
+                () = node.run_timers() => unreachable!("timers run for ever"),
+            }
+        });
+    }
 }
