--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -430,7 +430,7 @@
                 // An attempt that ended meanwhile no longer listens: its own outcome is on the way.
                 let _ = withdraw.map(|withdraw| withdraw.send(()));
             }
-            // The settings never allow probes here; the module is told of none.
+            // The settings may allow probes, but they cost the servers work and the module asks for none.
             Action::Probe { .. } => tracing::warn!("the module asked for a probe; nodes make none"),
             Action::Watch => errands.ask = true,
             Action::Fetch => {
