Give no connection up for an option that it does not take

Suspected first, and ruled out: the wait after a failed call (5 to 10 s) leaves the old list in use. Discovery down or refusing: a probe logged "connected Ok(TcpStream { .. peer: 127.12.0.1:8500 })" right before the error. A probe on each step named it: "probe: nodelay Bad file descriptor", from `stream.set_nodelay(true)?` in discovery's `connect`. The descriptor is open and the right one; with a log call that reads it put before that line, the same option was set and lists came. In the program as built the call's first register is loaded whole from a packed result (`mov 0x48(%rsp),%rdi`), so that the upper half of an int argument is arbitrary, as the calling convention allows and Linux accepts; whoever reads all 64 bits finds no such descriptor.

At fault is that an option which only makes small writes go out sooner decided about the connection: in `discovery::connect`, in `upstream::Pool::connect` (a failed connect) and in `server::welcome` (the client's request lost). Discovery's calls are single small writes after the last answer's end, which nothing delays, so the option is left out there; the other two go on without.

Both tests were seen to fail with the old lines put back.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -186,7 +186,9 @@
         let at = *self.at.borrow();
         let mut link = match self.link.take().filter(|link| !link.is_closed()) {
             Some(link) => link,
-            None => connect(at).await?,
+            None => {
+                talk(timeout(CONNECT, TcpStream::connect(at)).await.map_err(|_| CallError::Late)??).await?
+            }
         };
         link.ready().await?;
         let request = Request::get(target).header(HOST, at.to_string()).body(Empty::new())?;
@@ -209,9 +211,8 @@
     }
 }
 
-async fn connect(at: SocketAddr) -> Result<SendRequest<Empty<Bytes>>, CallError> {
-    let stream = timeout(CONNECT, TcpStream::connect(at)).await.map_err(|_| CallError::Late)??;
-    stream.set_nodelay(true)?;
+/// Every call is one small write after the last answer's end, which goes out at once without an option for it.
+async fn talk(stream: TcpStream) -> Result<SendRequest<Empty<Bytes>>, CallError> {
     let (link, connection) = handshake(TokioIo::new(stream)).await?;
     spawn_local(async move {
         if let Err(error) = connection.await {
@@ -220,3 +221,33 @@
     });
     Ok(link)
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+    use super::*;
+    use crate::driver::tests::{SECOND, node, optionless};
+
+    /// No list ever arrived where the option failed: each call ended before it was made.
+    #[tokio::test]
+    async fn a_connection_that_takes_no_option_brings_the_list() {
+        let (mut peer, stream) = optionless();
+        let (node, _) = node(SECOND);
+        let (_move, at) = watch::channel(SocketAddr::from(([127, 0, 0, 1], 9)));
+        let called = async {
+            let link = talk(stream).await?;
+            Watch { link: Some(link), ..Watch::new(node, at, None) }.call(HOLD_PUSHED).await
+        };
+        let answered = async {
+            let mut asked = [0; 4];
+            peer.read_exact(&mut asked).await.expect("a call");
+            let list = r#"{"rev":7,"all":true,"targets":[]}"#;
+            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len());
+            peer.write_all(answer.as_bytes()).await.expect("the node still reads");
+        };
+        let both = async { tokio::join!(called, answered).0 };
+        let list = tokio::task::LocalSet::new().run_until(both).await.expect("a list");
+        assert_eq!(list.rev, 7);
+    }
+}
--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -677,6 +677,17 @@
         Asked { class: 0, tenant: None, hint: None, repeat: false, budget, call }
     }
 
+    /// A connected pair of sockets, of which the second takes none of TCP's options.
+    pub fn optionless() -> (tokio::net::UnixStream, tokio::net::TcpStream) {
+        let (peer, stream) = std::os::unix::net::UnixStream::pair().expect("a pair");
+        peer.set_nonblocking(true).and(stream.set_nonblocking(true)).expect("not blocking");
+        let stream = std::net::TcpStream::from(std::os::fd::OwnedFd::from(stream));
+        let peer = tokio::net::UnixStream::from_std(peer).expect("in the runtime");
+        let stream = tokio::net::TcpStream::from_std(stream).expect("in the runtime");
+        assert!(stream.set_nodelay(true).is_err(), "takes the option");
+        (peer, stream)
+    }
+
     fn reply(waiting: Waiting) -> Option<Reply> {
         let mut answer = std::pin::pin!(waiting.answer());
         match answer.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::driver::{Asked, Call, Node, Reply};
-use crate::upstream::MAX_BODY;
+use crate::upstream::{MAX_BODY, without_delay};
 
 /// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
@@ -139,30 +139,19 @@
     let (node, phase) = (node.clone(), phase.clone());
     spawn_local(async move {
         let _slot = slot;
-        let talk = async {
-            stream.set_nodelay(true)?;
-            converse(stream, node, phase, scarcity).await
-        };
-        if let Err(error) = talk.await {
+        without_delay(&stream);
+        if let Err(error) = converse(stream, node, phase, scarcity).await {
             tracing::debug!("client: {error}");
         }
     });
 }
 
-#[derive(Debug, thiserror::Error)]
-enum Trouble {
-    #[error(transparent)]
-    Socket(#[from] std::io::Error),
-    #[error(transparent)]
-    Http(#[from] hyper::Error),
-}
-
 async fn converse(
     stream: impl AsyncRead + AsyncWrite + Unpin,
     node: Node,
     mut phase: watch::Receiver<Phase>,
     scarcity: impl Fn() -> bool,
-) -> Result<(), Trouble> {
+) -> Result<(), hyper::Error> {
     let accepted = Cell::new(Some(Instant::now()));
     let answered = Cell::new(None);
     // One that comes during the way out is closed by its first answer. Closing it sooner would lose the
@@ -197,7 +186,7 @@
     };
     tokio::select! {
         biased;
-        result = talk => Ok(result?),
+        result = talk => result,
         () = left_unread(&answered) => Ok(()),
         () = crowded_out(&accepted, scarcity) => Ok(()),
     }
@@ -420,6 +409,23 @@
         (got, began.elapsed())
     }
 
+    /// Serves whole what a socket of another family brings, which has no such option as TCP's.
+    #[tokio::test]
+    async fn a_connection_that_takes_no_option_is_served() {
+        let (mut peer, stream) = driver::tests::optionless();
+        let slot = Arc::new(Semaphore::new(1)).acquire_owned().await.expect("a slot");
+        let (_phase, phases) = watch::channel(Phase::Serving);
+        let (node, _) = driver::tests::node(0);
+        let mut got = String::new();
+        let serve = async {
+            welcome(stream, &node, slot, &phases, || false);
+            peer.write_all(CHECK.as_bytes()).await.expect("the node still reads");
+            peer.read_to_string(&mut got).await.expect("an answer and the end");
+        };
+        tokio::task::LocalSet::new().run_until(serve).await;
+        assert!(got.starts_with("HTTP/1.1 503 "), "{got:?}");
+    }
+
     const CALL: &str = "POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: pay\r\nX-Budget-Ms: 1\r\nContent-Length: 0\r\n\r\n";
     const CHECK: &str = "GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n";
 
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -91,6 +91,14 @@
     }
 }
 
+/// Has small writes go out at once. A connection that does not take the option still carries requests, if later:
+/// that is no reason to lose them.
+pub fn without_delay(stream: &TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!("no delay: {error}");
+    }
+}
+
 impl Launcher for Upstream {
     fn launch(&self, node: &Node, launch: Launch) {
         let (pool, node) = (self.0.clone(), node.clone());
@@ -253,7 +261,7 @@
     async fn connect(&self, endpoint: SocketAddr, counted: Counted) -> Option<Link> {
         let limit = Duration::from_nanos(self.links.connect_timeout);
         let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
+        without_delay(&stream);
         let (link, connection) = handshake(TokioIo::new(stream)).await.ok()?;
         spawn_local(async move {
             let _counted = counted;
