Bound the attempts out by a window for each zone, not by a share of the arrivals

Counted across the fleet by home zone (a probe logged each arrival, send and end): home 0 has 72 nodes on 17 servers; 4898 of its 6134 sends timed out and 745 were served, at a median of 511 ms, while zones 2 and 3 answered 97% at 131 ms; 55716 arrivals were refused there by the bound on what is taken.

Causes weighed: servers short of connections (ruled out: none refused), bad servers (ruled out: 14 errors), uneven zones known only once they are jammed, and a bound that does not bound.

Moved by the mean delay, as a window on the attempts out, it held until a burst; the rest was the sum of all nodes: windows of zones that a node had not used yet (260 nodes x 4.4 on 41 servers), any zone tried when one was full, and a mean of 0.4 of the aim, which is four to five held a core.

At fault: `own_taken` in `settle` and `admit` (one share for all zones, of what arrives), the order of unseen zones in `refresh` (always the lowest number), and `dispatch`, which held what no server could take. Now each zone has a window on own attempts, moved by what answers took of their aim. A small zone starts with a small one, another zone with this node's part of its own; below 1 it is paced in time. Home first, then the one best zone, else refused at once. Fleets of few nodes are not touched.

Both new tests were seen to fail without the change.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,10 +70,17 @@
 const RESPONSE: (f64, f64) = (0.1, 2.0);
 /// Part of the aim, on the mean, that a zone's load may fill before arrivals are turned away.
 const ROOM: f64 = 0.7;
-/// Steps of the own share of arrivals taken, for an answer in time and for one late or sent away (adaptive
-/// throttling): it holds where five in six are in time. Up to here, so that one late answer refuses nothing.
-const TAKEN_STEPS: (f64, f64) = (0.05, 0.25);
-pub(crate) const OVERDRAW: f64 = 1.5;
+/// Part of the aim that answers should take on the mean: spread evenly about it, as delays are, few pass the
+/// aim. And what an answer's difference from it, as a part of the aim, moves the zone's window by.
+const WANTED: f64 = 0.3;
+const WINDOW_STEP: f64 = 0.5;
+/// A window at the start where zones are alike, the least, and the time that paces one below 1.
+const WINDOW_START: f64 = 3.0;
+pub(crate) const WINDOW_LEAST: f64 = 0.15;
+const WINDOW_SPAN: f64 = 0.3 * SECOND as f64;
+/// Part of a window open to what is worth little, and how far chance lowers one where zones are compared.
+const WINDOW_LESSER: f64 = 0.5;
+const WINDOW_SPREAD: f64 = 0.3;
 /// Part of the difference to the wanted load that one list's figures correct, in the share of the arrivals
 /// that spills and the share that is taken; and the least of the latter, so that an end of the jam is seen.
 const GAIN: f64 = 0.5;
@@ -204,7 +211,8 @@
         self.refresh(actions);
         // Guards against jams that feed on their own repeats: what is past its aim, or more than the servers
         // can do in time, is turned away before it costs them anything.
-        let past = aim_end <= self.now && (worthless_late || (many && admit < 1.0));
+        let late = aim_end <= self.now;
+        let past = late && (worthless_late || (many && admit < 1.0));
         let tenant = arrival.tenant.map_or(usize::MAX, |tenant| tenant as usize);
         if !past {
             self.classes[class].asked.add(self.now, 1.0);
@@ -212,7 +220,13 @@
         }
         let over = self.over_share(tenant);
         let admit = if over > 0.0 && self.draw() < over { self.over_admit } else { admit };
-        if past || (admit < 1.0 && self.draw() >= admit) {
+        // What is worth little leaves room to the rest.
+        let lesser = many && (late || (over > 0.0 && self.draw() < over));
+        let part = if lesser { WINDOW_LESSER } else { 1.0 };
+        let home = self.settings.home;
+        let full =
+            !past && !self.roomy(home, part) && !self.target().is_some_and(|zone| self.roomy(zone, part));
+        if past || full || (admit < 1.0 && self.draw() >= admit) {
             self.end(arrival.request, actions);
             return;
         }
@@ -263,6 +277,7 @@
         });
         backend.in_flight += 1;
         let (class, aim_end, zone) = (request.class, request.aim_end, backend.member.zone);
+        self.zones.get_mut(zone.0 as usize).into_iter().for_each(|view| view.sent_at = self.now);
         if backend.ramp(self.now, &self.settings.rules) < 1.0 {
             backend.cold_sends.push_back((self.now, request.cold_cost));
         }
@@ -335,17 +350,7 @@
         self.learn(to, class, cost, load, &settled);
         self.judge(to, &settled, actions);
         self.report(to, settled.report);
-        // Moved by what was sent: a share of what was asked would count what this bound itself has refused,
-        // and hold on to that long after the servers are idle again.
-        // It goes by what the server took: a client's further try may have little time left.
-        let aim = self.settings.classes[class].aim;
-        let step = match settled.outcome {
-            Outcome::Served if settled.elapsed <= aim => TAKEN_STEPS.0,
-            Outcome::TimedOut if aim_end < sent + aim / 2 => 0.0,
-            Outcome::Served | Outcome::TimedOut | Outcome::Full => -TAKEN_STEPS.1,
-            _ => 0.0,
-        };
-        self.own_taken = (self.own_taken + step).clamp(LEAST_TAKEN, OVERDRAW);
+        self.resize(zone, &settled, class, aim_end < sent + self.settings.classes[class].aim / 2);
         if settled.ended || !open {
             if open && settled.outcome == Outcome::Served && (self.now <= aim_end || !self.many()) {
                 self.classes[class].served.add(self.now, 1.0);
@@ -437,9 +442,16 @@
                     let saved = (farthest - latency.unwrap_or(farthest)) / farthest;
                     (util < THRESHOLD, WEIGHT_HEADROOM * headroom + WEIGHT_LATENCY * saved, zone)
                 }
-                (None, _) => (true, -1.0, zone),
+                (None, _) => (true, -10.0, zone),
             })
             .collect();
+        if self.many() {
+            // What came back tells the room of a zone that no report does. Nodes alike must not herd.
+            for score in scored.iter_mut().filter(|score| score.1 == -10.0) {
+                let room = self.zones[score.2.0 as usize].window().min(2.0 * WINDOW_START);
+                score.1 += room * (1.0 - WINDOW_SPREAD * self.draw());
+            }
+        }
         scored.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
         self.qualified = scored.iter().filter(|score| score.0).count();
         self.overflow = scored.into_iter().map(|score| score.2).collect();
@@ -505,10 +517,7 @@
     fn admit(&mut self) {
         let asked = self.asked();
         let home = &self.zones[self.settings.home.0 as usize];
-        // A node sees few answers: its own bound rests while the list shows home at half the threshold.
-        let fresh = self.listed_at.is_some_and(|at| self.now.saturating_sub(at) < UTIL_TRUST);
-        let calm = fresh && home.held < 0.5 * THRESHOLD / (1.0 - THRESHOLD);
-        let taken = if calm { home.taken } else { home.taken.min(self.own_taken) };
+        let taken = home.taken;
         // A tenant that floods is turned away first, down to this node's part of its share.
         let over: f64 =
             (0..self.tenants.len()).map(|t| self.over_share(t) * self.tenants[t].now(self.now)).sum();
@@ -527,6 +536,11 @@
         }
     }
 
+    /// The one zone that takes what home does not.
+    fn target(&self) -> Option<ZoneId> {
+        self.overflow.first().copied().filter(|_| self.qualified > 0)
+    }
+
     /// The backend for a request by the design, or none if it is better held.
     fn choose(&mut self, id: RequestId) -> Option<BackendId> {
         let home = self.settings.home;
@@ -540,13 +554,17 @@
         if under && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
-        let target = self.overflow.first().copied().filter(|_| self.qualified > 0);
+        let target = self.target();
         if let Some(to) = target.and_then(|zone| self.pick(id, zone)) {
             return Some(to);
         }
         if !under && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
+        // A full window is no reason to try one zone after the other: all nodes together would fill each.
+        if !self.roomy(home, 1.0) {
+            return None;
+        }
         // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can. Where a
         // subset is dead its zone may well be; past it, to all of home, only when no other zone is left.
         let to = self.overflow.iter().find_map(|&zone| self.pick(id, zone));
@@ -565,7 +583,7 @@
     fn pick(&self, id: RequestId, zone: ZoneId) -> Option<BackendId> {
         // Many nodes on every backend would fill its table of connections and pay for opening them: each
         // keeps to a few by its own lots. One that is busy is still its own: the others are as busy.
-        let subset = self.zones.get(zone.0 as usize)?.subset;
+        let subset = self.zones.get(zone.0 as usize).filter(|_| self.roomy(zone, 1.0))?.subset;
         self.pick_among(id, zone, if self.many() { subset } else { u64::MAX })
     }
 
@@ -745,11 +763,40 @@
         idle || stretch <= room.min(ADMIT * left / view.base)
     }
 
+    /// Moves a zone's window by what an attempt there took, or by its having got nothing. Bounds the attempts
+    /// out, not the share of the arrivals: these grow as the refused come again, and the servers do not.
+    fn resize(&mut self, zone: ZoneId, settled: &Settlement, class: usize, short: bool) {
+        let part = match settled.outcome {
+            Outcome::Served => settled.elapsed as f64 / self.settings.classes[class].aim as f64,
+            // It goes by what the server took: a client's further try may have little time left.
+            Outcome::TimedOut if !short => 1.5,
+            Outcome::Full => 1.5,
+            _ => return,
+        };
+        let Some(view) = self.zones.get_mut(zone.0 as usize) else { return };
+        let (window, step) = (view.window(), WINDOW_STEP * (WANTED - part.min(1.5)));
+        // One that is hardly used says nothing of what would come of using it.
+        let step = if 2.0 * (view.own + 1.0) < window { step.min(0.0) } else { step };
+        // So few sends prove little each: the next window is the double, up to one at a time.
+        let step = if step > 0.0 && window < 1.0 { window } else { step };
+        view.window = Some((window + step).max(WINDOW_LEAST));
+    }
+
+    /// Whether a zone's window, or this part of it, has room.
+    fn roomy(&self, zone: ZoneId, part: f64) -> bool {
+        let Some(view) = self.zones.get(zone.0 as usize).filter(|_| self.many()) else { return true };
+        let window = part * view.window();
+        let rested = self.now.saturating_sub(view.sent_at) as f64 * window >= WINDOW_SPAN;
+        view.own < window.max(1.0) && (window >= 1.0 || rested)
+    }
+
     fn dispatch(&mut self, id: RequestId, actions: &mut Vec<Action>) {
         if self.choose(id).is_some_and(|to| self.send(id, to, actions)) {
             return;
         }
-        if let Some(request) = self.requests.get_mut(&id).filter(|r| r.phase == Phase::Open) {
+        if self.many() {
+            self.end(id, actions);
+        } else if let Some(request) = self.requests.get_mut(&id).filter(|r| r.phase == Phase::Open) {
             request.phase = Phase::Held;
             self.held.push(id);
         }
@@ -856,8 +903,17 @@
             let mut lots: Vec<u64> = self.backends.values().filter(listed).map(|b| b.lot).collect();
             lots.sort_unstable();
             view.listed = lots.len() as f64;
+            view.size = self.backends.values().filter(listed).map(Backend::size).sum();
             view.subset = lots.get(SUBSET - 1).copied().unwrap_or(u64::MAX);
         }
+        // Before anything has come back a zone is expected to be asked for as much as any other, whatever its
+        // size, and by the nodes of all others together no more than by its own.
+        let zones = f64::from(self.settings.zones);
+        let mean = (self.zones.iter().map(|zone| zone.size).sum::<f64>() / zones).max(1e-9);
+        for (zone, view) in self.zones.iter_mut().enumerate() {
+            let users = if zone == self.settings.home.0 as usize { 1.0 } else { zones };
+            view.window_start = WINDOW_START * view.size / mean / users;
+        }
         if live && scope != ListScope::Cached {
             self.interpret();
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
-use crate::choice::{OVERDRAW, RETRY_SAVED, SHARED_VIEW, SUBSET, UTIL_SMOOTHING};
+use crate::choice::{RETRY_SAVED, SHARED_VIEW, SUBSET, UTIL_SMOOTHING, WINDOW_LEAST};
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
 /// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
@@ -163,11 +163,16 @@
     /// Own attempts out there, now and smoothed.
     pub(crate) own: f64,
     pub(crate) own_load: Smooth,
+    /// Most own attempts out there: by the list, and by what came back once anything has. Below 1 they are paced.
+    pub(crate) window_start: f64,
+    pub(crate) window: Option<f64>,
+    pub(crate) sent_at: Nanos,
     /// Requests held for each core, on the mean, and the share of the arrivals that is taken.
     pub(crate) held: f64,
     pub(crate) taken: f64,
-    /// Backends in service there, and the highest lot of the subset.
+    /// Backends in service there, their size together, and the highest lot of the subset.
     pub(crate) listed: f64,
+    pub(crate) size: f64,
     pub(crate) subset: u64,
     /// What this node serves there of each unit of used capacity.
     pub(crate) capacity: f64,
@@ -194,6 +199,10 @@
 }
 
 impl Zone {
+    pub(crate) fn window(&self) -> f64 {
+        self.window.unwrap_or(self.window_start).max(WINDOW_LEAST)
+    }
+
     /// The own load as smoothed up to now.
     pub(crate) fn own_before(&self, now: Nanos, tau: Nanos) -> f64 {
         let mut load = self.own_load;
@@ -223,8 +232,6 @@
     /// Requests of each tenant, and the share of those over their shares that is taken.
     pub(crate) tenants: Vec<Rate>,
     pub(crate) over_admit: f64,
-    /// Share of the arrivals taken by what came back of the own sends; it may lie above 1.
-    pub(crate) own_taken: f64,
     pub(crate) overflow: Vec<ZoneId>,
     pub(crate) qualified: usize,
     pub(crate) refresh_at: Nanos,
@@ -257,7 +264,6 @@
             settings,
             tenants,
             over_admit: 1.0,
-            own_taken: OVERDRAW,
             seed,
             random: seed ^ 0x9e37_79b9_7f4a_7c15,
             now,
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -525,3 +525,43 @@
     assert!(tried.len() <= 4, "{} servers of the silent zone tried", tried.len());
     assert!(to_home < 50 && served > 200, "{to_home} sent to the silent zone, {served} served by the other");
 }
+
+/// A release of 300 nodes' clients, all of which nobody answers: what was refused came again, and a bound by the
+/// share of the arrivals sent the more the more came. Servers held ten requests a core and turned slow for good.
+#[test]
+fn arrivals_that_come_again_send_no_more_to_servers_that_do_not_answer() {
+    let members: Vec<Member> = (0..30).map(|b| member(b, b / 10)).collect();
+    let mut node = Node::seeded(3, Settings { nodes: NODES, ..settings(Effect::Once) }, members);
+    node.now += 10 * SECOND;
+    let answers: Vec<(bool, bool)> = (0..200)
+        .map(|_| {
+            let (_, actions) = node.ask(SECOND);
+            node.pass(5 * MS);
+            (sent(&actions).is_some(), refused(&actions))
+        })
+        .collect();
+    let out = answers.iter().filter(|answer| answer.0).count();
+    assert!((3..=8).contains(&out), "{out} of 200 sent in a second");
+    assert!(answers.iter().all(|answer| answer.0 != answer.1), "what is not sent is refused at once");
+}
+
+/// Half of the clients came to the zone with a tenth of the servers; its nodes left it only once it was jammed.
+#[test]
+fn a_small_home_sends_its_excess_to_larger_zones() {
+    let zone = |b: u32| if b < 3 { 0 } else { 1 + (b - 3) / 14 };
+    let members: Vec<Member> = (0..31).map(|b| member(b, zone(b))).collect();
+    let (mut home, mut away) = (0, 0);
+    for seed in 0..50 {
+        let given = Settings { nodes: NODES, ..settings(Effect::Once) };
+        let mut node = Node::seeded(seed, given, members.clone());
+        node.now += 10 * SECOND;
+        for _ in 0..4 {
+            match sent(&node.ask(SECOND).1) {
+                Some(to) if zone(to.0) == 0 => home += 1,
+                Some(_) => away += 1,
+                None => {}
+            }
+        }
+    }
+    assert!(home >= 50 && away >= 50, "{home} at home and {away} away of 200");
+}
