Let what a node keeps stand under what decides, and have the module note in fields

`src/state.rs` took five constants from `src/choice.rs`, which is built on it: a circle, so neither could be read or moved alone. The five short views that rest on those constants (`Zone::window`, `many`, `reach`, `retries_saved`, `count_own`) are decisions and go to `choice.rs`; `state.rs` keeps plain data and arithmetic and needs `api.rs` only.

The module's log action carried a sentence, from which nobody could take the backend or the cause again. It now carries a `Note` (spill, ejected, readmitted) with its figures, worded in one place; the adapter's remarks read as before.

No decision changes: the module's tests pass as they were, but for one that looked for the word "ejected" and now looks for that note.

--- a/node/src/driver.rs
+++ b/node/src/driver.rs
@@ -440,7 +440,7 @@
             Action::Timer { after, token } => {
                 self.set_timer(self.clock.now().saturating_add(after), Due::Module(token), errands);
             }
-            Action::Log(text) => tracing::info!("{text}"),
+            Action::Log(note) => tracing::info!("{note}"),
         }
     }
 
--- a/src/api.rs
+++ b/src/api.rs
@@ -460,5 +460,48 @@
         token: u64,
     },
     /// A line for the operators' log.
-    Log(String),
+    Log(Note),
+}
+
+/// What the operators' log is told: what happened, to what, and the figures. [`fmt::Display`] words it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Note {
+    /// The home zone has crossed the threshold.
+    Spill {
+        /// The node's own zone.
+        home: ZoneId,
+        /// Whether it is over the threshold now.
+        spilling: bool,
+        /// The zone with the best score, home where there is none.
+        best: ZoneId,
+    },
+    /// An outlier gets no requests for a while.
+    Ejected {
+        /// The backend.
+        backend: BackendId,
+        /// For how long.
+        span: Nanos,
+        /// How the last attempt on it ended.
+        cause: Outcome,
+    },
+    /// An ejected backend has served its trials.
+    Readmitted {
+        /// The backend.
+        backend: BackendId,
+    },
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Spill { spilling, best, .. } => {
+                let does = if *spilling { "spills" } else { "serves" };
+                write!(f, "home zone {does}; the best other one is {}", best.0)
+            }
+            Self::Ejected { backend, span, cause } => {
+                write!(f, "backend {} ejected for {} ms: {cause:?}", backend.0, span / 1_000_000)
+            }
+            Self::Readmitted { backend } => write!(f, "backend {} readmitted: trials served", backend.0),
+        }
+    }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,7 @@
 const WEIGHT_HEADROOM: f64 = 0.7;
 const WEIGHT_LATENCY: f64 = 0.3;
 /// Time constant of a backend's smoothed utilisation: some report periods.
-pub(crate) const UTIL_SMOOTHING: Nanos = 400 * MS;
+const UTIL_SMOOTHING: Nanos = 400 * MS;
 /// A utilisation older than this says nothing; a zone with no younger one counts as unseen.
 const UTIL_TRUST: Nanos = 4 * SECOND;
 /// Time constant of a backend's slowness: tens of answers, yet within a neighbour's seconds on and off.
@@ -50,7 +50,7 @@
 const PRECEDENCE: f64 = 0.8;
 /// Retries that each arrival earns, and the most that can be saved up.
 const RETRY_SHARE: f64 = 0.1;
-pub(crate) const RETRY_SAVED: f64 = 10.0;
+const RETRY_SAVED: f64 = 10.0;
 /// Failures in a row (a broken or refused connection counts double) that make an outlier.
 const EJECT_AFTER: u32 = 6;
 /// A connection that was not refused by then is to a machine that says nothing.
@@ -63,9 +63,9 @@
 const EJECT_SHARE: f64 = 0.5;
 /// With more nodes a zone than this, own requests in flight say nothing of a backend's load: the pick then
 /// goes by what the list or the reports tell all nodes, and by chance.
-pub(crate) const SHARED_VIEW: f64 = 8.0;
+const SHARED_VIEW: f64 = 8.0;
 /// Backends of a zone that one of many nodes uses as long as one of them can take the request.
-pub(crate) const SUBSET: usize = 4;
+const SUBSET: usize = 4;
 /// Least and most that one late figure moves a backend's share of the picks.
 const RESPONSE: (f64, f64) = (0.1, 2.0);
 /// Part of the aim, on the mean, that a zone's load may fill before arrivals are turned away.
@@ -76,7 +76,7 @@
 const WINDOW_STEP: f64 = 0.5;
 /// A window at the start where zones are alike, the least, and the time that paces one below 1.
 const WINDOW_START: f64 = 3.0;
-pub(crate) const WINDOW_LEAST: f64 = 0.15;
+const WINDOW_LEAST: f64 = 0.15;
 const WINDOW_SPAN: f64 = 0.3 * SECOND as f64;
 /// Part of a window open to what is worth little, and how far chance lowers one where zones are compared.
 const WINDOW_LESSER: f64 = 0.5;
@@ -122,6 +122,13 @@
     }
 }
 
+impl Zone {
+    /// Most own attempts out there.
+    fn window(&self) -> f64 {
+        self.window.unwrap_or(self.window_start).max(WINDOW_LEAST)
+    }
+}
+
 impl Balancer {
     /// Takes one event in and adds what is to be done. A clock that steps back stands still.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
@@ -176,6 +183,37 @@
         self.expire(actions);
     }
 
+    /// Log lines are for people: at most one a second.
+    fn log(&mut self, actions: &mut Vec<Action>, note: Note) {
+        if self.now >= self.log_at {
+            self.log_at = self.now + SECOND;
+            actions.push(Action::Log(note));
+        }
+    }
+
+    /// Whether so many nodes share the backends that own figures say little of these.
+    fn many(&self) -> bool {
+        self.crowd() > SHARED_VIEW
+    }
+
+    /// The part of a zone's backends that a node keeps to.
+    fn reach(&self, zone: ZoneId) -> f64 {
+        let listed = self.zones.get(zone.0 as usize).map_or(0.0, |zone| zone.listed);
+        if self.many() { (SUBSET as f64 / listed.max(1.0)).min(1.0) } else { 1.0 }
+    }
+
+    /// Most retries that a node may save up: many nodes together must not save a storm.
+    fn retries_saved(&self) -> f64 {
+        (RETRY_SAVED / self.crowd()).max(1.0)
+    }
+
+    /// Counts own attempts in a zone, or their ends.
+    fn count_own(&mut self, zone: ZoneId, change: f64) {
+        if let Some(view) = self.zones.get_mut(zone.0 as usize) {
+            view.count_own(self.now, change, UTIL_SMOOTHING);
+        }
+    }
+
     // 1. Request ledger and contract gate.
 
     fn arrive(&mut self, arrival: Arrival, actions: &mut Vec<Action>) {
@@ -468,9 +506,8 @@
         }
         let spilling = self.utilisation(home).is_some_and(|util| util >= THRESHOLD);
         if std::mem::replace(&mut self.zones[home.0 as usize].spilling, spilling) != spilling {
-            let to = self.overflow.first().map_or(home.0, |zone| zone.0);
-            let does = if spilling { "spills" } else { "serves" };
-            self.log(actions, || format!("home zone {does}; the best other one is {to}"));
+            let best = self.overflow.first().copied().unwrap_or(home);
+            self.log(actions, Note::Spill { home, spilling, best });
         }
     }
 
@@ -663,7 +700,7 @@
                 Health::HalfOpen { .. } => {
                     backend.health = Health::Healthy;
                     backend.ejections = backend.ejections.saturating_sub(1);
-                    self.log(actions, || format!("backend {} readmitted: trials served", id.0));
+                    self.log(actions, Note::Readmitted { backend: id });
                 }
                 _ => {}
             }
@@ -682,7 +719,7 @@
             backend.ejections += 1;
             backend.failed_in_row = 0;
             backend.health = Health::Ejected { until: self.now + span };
-            self.log(actions, || format!("backend {} ejected for {} ms: {outcome:?}", id.0, span / MS));
+            self.log(actions, Note::Ejected { backend: id, span, cause: outcome });
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,10 +1,9 @@
 //! What a node keeps: smoothed figures, its requests, and its views of backends, zones and classes.
-//! Plain data and arithmetic; every decision on it is in `choice.rs`.
+//! Plain data and arithmetic that know nothing of what decides on them: every decision is in `choice.rs`.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
-use crate::choice::{RETRY_SAVED, SHARED_VIEW, SUBSET, UTIL_SMOOTHING, WINDOW_LEAST};
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
 /// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
@@ -199,10 +198,6 @@
 }
 
 impl Zone {
-    pub(crate) fn window(&self) -> f64 {
-        self.window.unwrap_or(self.window_start).max(WINDOW_LEAST)
-    }
-
     /// The own load as smoothed up to now.
     pub(crate) fn own_before(&self, now: Nanos, tau: Nanos) -> f64 {
         let mut load = self.own_load;
@@ -293,21 +288,6 @@
         (mix(self.random) >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// Counts own attempts in a zone, or their ends.
-    pub(crate) fn count_own(&mut self, zone: ZoneId, change: f64) {
-        if let Some(view) = self.zones.get_mut(zone.0 as usize) {
-            view.count_own(self.now, change, UTIL_SMOOTHING);
-        }
-    }
-
-    /// Log lines are for people: at most one a second.
-    pub(crate) fn log(&mut self, actions: &mut Vec<Action>, text: impl FnOnce() -> String) {
-        if self.now >= self.log_at {
-            self.log_at = self.now + SECOND;
-            actions.push(Action::Log(text()));
-        }
-    }
-
     /// Requests a second that come to this node.
     pub(crate) fn asked(&self) -> f64 {
         self.classes.iter().map(|class| class.asked.now(self.now)).sum()
@@ -329,20 +309,4 @@
     pub(crate) fn crowd(&self) -> f64 {
         (f64::from(self.settings.nodes) / f64::from(self.settings.zones)).max(1.0)
     }
-
-    /// The part of a zone's backends that a node keeps to.
-    pub(crate) fn reach(&self, zone: ZoneId) -> f64 {
-        let listed = self.zones.get(zone.0 as usize).map_or(0.0, |zone| zone.listed);
-        if self.many() { (SUBSET as f64 / listed.max(1.0)).min(1.0) } else { 1.0 }
-    }
-
-    /// Whether so many nodes share the backends that own figures say little of these.
-    pub(crate) fn many(&self) -> bool {
-        self.crowd() > SHARED_VIEW
-    }
-
-    /// Most retries that a node may save up: many nodes together must not save a storm.
-    pub(crate) fn retries_saved(&self) -> f64 {
-        (RETRY_SAVED / self.crowd()).max(1.0)
-    }
 }
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -119,10 +119,7 @@
     for _ in 0..40 {
         let (request, _) = node.ask(SECOND);
         let actions = node.settle_after(request, 0, Outcome::ConnectFailed, MS, Report::default());
-        logs += actions
-            .iter()
-            .filter(|action| matches!(action, Action::Log(text) if text.contains("ejected")))
-            .count();
+        logs += actions.iter().filter(|action| matches!(action, Action::Log(Note::Ejected { .. }))).count();
         node.now += SECOND;
     }
     assert_eq!(logs, 0);
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -133,7 +133,7 @@
             Action::Timer { after, token } => {
                 ("DEFER", json!({"who": who, "from-now-ns": after, "name": token}))
             }
-            Action::Log(text) => ("REMARK", json!({"who": who, "note-text": text})),
+            Action::Log(note) => ("REMARK", json!({"who": who, "note-text": note.to_string()})),
         };
         self.write(tag, body);
     }
