Part the node's driver by concern: requests, backends, timers, clock, exchange

Each of the first three is now a type of its own in its own file that knows nothing of the module (`requests`, `backends`, `timers`), the clock and the plain data have theirs, and `driver/mod.rs` (427 lines) is the turn of events alone. The module's notes and the steps of each request are logged with the names that people know.

--- /dev/null
+++ b/node/src/driver/exchange.rs
@@ -0,0 +1,122 @@
+//! What passes between the driver and the sockets. Plain data.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use brookfield::{BackendId, Nanos, Outcome, Report, RequestId, Stage};
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use tokio::sync::oneshot;
+
+/// A client's request in the form in which it is passed on.
+pub struct Call {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: Uri,
+    /// The headers that go on unchanged.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// The final answer to a request.
+#[derive(Debug)]
+pub enum Reply {
+    /// Served, with a backend's answer.
+    Served(Bytes),
+    /// Refused; the client should stay away for this long, if that is above 0.
+    Refused(Nanos),
+    /// Failed.
+    Failed,
+}
+
+impl Reply {
+    /// What it is, in one word, for the log.
+    pub(super) fn word(&self) -> &'static str {
+        match self {
+            Self::Served(_) => "served",
+            Self::Refused(_) => "refused",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// One attempt of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ticket {
+    pub(super) request: RequestId,
+    pub(super) attempt: u32,
+    pub(super) backend: BackendId,
+}
+
+/// An attempt to be made.
+pub struct Launch {
+    /// Which one; goes back with its outcome.
+    pub ticket: Ticket,
+    /// Whom to send to.
+    pub backend: BackendId,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// What to send.
+    pub call: Rc<Call>,
+    /// When to stop waiting.
+    pub give_up: Nanos,
+    /// When the client stops waiting.
+    pub not_after: Nanos,
+    /// Resolves once the attempt has been withdrawn.
+    pub withdrawn: oneshot::Receiver<()>,
+}
+
+/// How an attempt ended.
+pub struct Ending {
+    /// What happened.
+    pub outcome: Outcome,
+    /// The load report that came along.
+    pub report: Report,
+    /// The answer's body, of one that served.
+    pub body: Bytes,
+}
+
+impl Ending {
+    /// An end with nothing received.
+    pub fn bare(outcome: Outcome) -> Self {
+        Self { outcome, report: Report::default(), body: Bytes::new() }
+    }
+}
+
+/// One line of discovery's list.
+pub struct Listed {
+    /// The backend's name.
+    pub uid: String,
+    /// Where it listens.
+    pub endpoint: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// Its machine kind.
+    pub kind: String,
+    /// Its cell.
+    pub cell: u64,
+    /// What it may take.
+    pub stage: Stage,
+    /// Its size.
+    pub size: f64,
+    /// When it last started; 0 for long ago.
+    pub boot_ms: u64,
+}
+
+/// What a client's request says of itself.
+pub struct Asked {
+    /// Its class.
+    pub class: u32,
+    /// Its tenant.
+    pub tenant: Option<u32>,
+    /// Its work, where the client guesses it.
+    pub hint: Option<Nanos>,
+    /// Marked as a repeat.
+    pub repeat: bool,
+    /// How long the client waits.
+    pub budget: Nanos,
+    /// What is passed on.
+    pub call: Call,
+}
--- /dev/null
+++ b/node/src/driver/mod.rs
@@ -0,0 +1,427 @@
+//! Between the sockets and the module: the sole owner of the [`Balancer`]. Events go in, actions come out; what an
+//! action asks of the network is left to a [`Launcher`]. Nothing is decided here, and no borrow of the driver
+//! outlives one of its calls.
+//!
+//! This file holds the turn of events. Beside it: `clock`, the node's one clock; `exchange`, what passes between
+//! the driver and the sockets; `requests`, whom each answer goes to; `backends`, names, numbers and addresses;
+//! `timers`, what comes due.
+
+mod backends;
+mod clock;
+mod exchange;
+mod requests;
+#[cfg(test)]
+pub mod tests;
+mod timers;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use brookfield::{
+    Action, Arrival, BackendId, Balancer, ClassId, Discovery, Effect, Event, ListScope, Nanos, Note, Outcome,
+    RequestId, Settings, SettingsError, Settlement,
+};
+use brookfield_settings::Words;
+use tokio::sync::{Notify, oneshot};
+
+use backends::Backends;
+pub use clock::Clock;
+pub use exchange::{Asked, Call, Ending, Launch, Listed, Reply, Ticket};
+use requests::Requests;
+use timers::{Due, Timers};
+
+/// How long past a request's end the driver waits for the module before it answers by itself: longer than
+/// the module's own housekeeping, well inside the slack that the rules leave.
+const BACKSTOP: Nanos = 20_000_000;
+
+/// Carries out on the network what the module asks for.
+pub trait Launcher {
+    /// Starts an attempt; its end comes back by [`Node::settled`], exactly once.
+    fn launch(&self, node: &Node, launch: Launch);
+    /// Drops the idle connections to a backend that has left, moved or started anew.
+    fn retire(&self, backend: BackendId);
+}
+
+struct Driver {
+    clock: Clock,
+    balancer: Balancer,
+    settings: Settings,
+    words: Words,
+    requests: Requests,
+    backends: Backends,
+    timers: Timers,
+    /// Set by the module's wish for the whole list.
+    whole_list: bool,
+}
+
+/// Work that an event has left for the network.
+#[derive(Default)]
+struct Errands {
+    launches: Vec<Launch>,
+    retired: Vec<BackendId>,
+    /// Attempts on a backend that has left the list meanwhile.
+    moot: Vec<Ticket>,
+    ask: bool,
+    rearm: bool,
+}
+
+/// A handle on the driver. Cheap to clone.
+#[derive(Clone)]
+pub struct Node {
+    driver: Rc<RefCell<Driver>>,
+    launcher: Rc<dyn Launcher>,
+    timer: Rc<Notify>,
+    asked: Rc<Notify>,
+    clock: Clock,
+}
+
+impl Node {
+    /// A node with no backends yet.
+    pub fn new(
+        settings: Settings,
+        words: Words,
+        seed: u64,
+        clock: Clock,
+        launcher: Rc<dyn Launcher>,
+    ) -> Result<Self, SettingsError> {
+        let driver = Driver {
+            clock,
+            balancer: Balancer::new(settings.clone(), seed, clock.now())?,
+            settings,
+            words,
+            requests: Requests::default(),
+            backends: Backends::default(),
+            timers: Timers::default(),
+            whole_list: false,
+        };
+        let driver = Rc::new(RefCell::new(driver));
+        let node = Self { driver, launcher, timer: Rc::default(), asked: Rc::default(), clock };
+        node.tell(|driver, errands| driver.hear(Event::Start, errands));
+        Ok(node)
+    }
+
+    /// The node's clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// A class's number, time limit and effect, or none where the settings do not list it.
+    pub fn class(&self, name: &str) -> Option<(u32, Nanos, Effect)> {
+        let driver = self.driver.borrow();
+        let class = driver.words.class(name)?;
+        let settings = driver.settings.classes.get(class as usize)?;
+        Some((class, settings.deadline, settings.effect))
+    }
+
+    /// A tenant's number. `Err` for a name that the settings of a site with tenants do not list.
+    pub fn tenant(&self, name: Option<&str>) -> Result<Option<u32>, UnknownTenant> {
+        let driver = self.driver.borrow();
+        if driver.settings.tenants.is_empty() {
+            return Ok(None);
+        }
+        driver.words.tenant(name).map(Some).ok_or(UnknownTenant)
+    }
+
+    /// The longest that any client waits.
+    pub fn longest_deadline(&self) -> Duration {
+        let driver = self.driver.borrow();
+        Duration::from_nanos(driver.settings.classes.iter().map(|class| class.deadline).max().unwrap_or(0))
+    }
+
+    /// Whether the site's discovery has to be asked.
+    pub fn asks_discovery(&self) -> bool {
+        self.driver.borrow().settings.discovery == Discovery::Asked
+    }
+
+    /// Takes a request; the answer comes through what is returned. Dropping that first means that the client
+    /// has gone.
+    pub fn submit(&self, asked: Asked) -> Waiting {
+        let (reply, answer) = oneshot::channel();
+        let request = self.tell(|driver, errands| driver.submit(asked, reply, errands));
+        Waiting { node: self.clone(), request, answer }
+    }
+
+    /// Whether an attempt may still be written: a connect can outlast its request, or the grace of a backend
+    /// that has begun to drain.
+    pub fn may_write(&self, ticket: Ticket) -> bool {
+        let driver = self.driver.borrow();
+        let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
+        // Half the grace: telling began before the list was read here, and the bytes have a way to go.
+        driver.requests.live(ticket.request, now)
+            && driver.backends.open_to_writes(ticket.backend, now, grace / 2)
+    }
+
+    /// Whether any backend is known that takes requests.
+    pub fn knows_backends(&self) -> bool {
+        self.driver.borrow().backends.any_in_service()
+    }
+
+    /// Whether a backend takes requests, at this address.
+    pub fn in_service(&self, backend: BackendId, endpoint: SocketAddr) -> bool {
+        self.driver.borrow().backends.in_service(backend, endpoint)
+    }
+
+    /// Takes the end of an attempt.
+    pub fn settled(&self, ticket: Ticket, ending: Ending) {
+        self.tell(|driver, errands| driver.settled(ticket, ending, errands));
+    }
+
+    /// Takes a list from discovery.
+    pub fn fleet(&self, scope: ListScope, list: Vec<Listed>) {
+        self.tell(|driver, errands| driver.fleet(scope, list, errands));
+    }
+
+    /// A call to discovery has failed. A wish for one from before that, such as the one at the start, has been
+    /// met by this call: kept, it would have the next call made at once, by all nodes that started together.
+    pub fn fleet_failed(&self) {
+        std::pin::pin!(self.asked.notified()).enable();
+        self.tell(|driver, errands| driver.hear(Event::FleetFailed, errands));
+    }
+
+    /// Waits until the module asks for the watch or the list.
+    pub async fn discovery_wanted(&self) {
+        self.asked.notified().await;
+    }
+
+    /// Whether the module wants the whole list next; asking takes the wish back.
+    pub fn take_whole_list(&self) -> bool {
+        std::mem::take(&mut self.driver.borrow_mut().whole_list)
+    }
+
+    /// Runs the timers; never ends.
+    pub async fn run_timers(&self) {
+        loop {
+            let next = self.driver.borrow().timers.next();
+            match next {
+                None => self.timer.notified().await,
+                Some(at) => {
+                    tokio::select! {
+                        () = tokio::time::sleep_until(self.clock.instant(at)) => {}
+                        () = self.timer.notified() => {}
+                    }
+                }
+            }
+            self.tell(|driver, errands| driver.fire(errands));
+        }
+    }
+
+    /// One call into the driver; what it leaves to do is done once the borrow has ended.
+    fn tell<T>(&self, call: impl FnOnce(&mut Driver, &mut Errands) -> T) -> T {
+        let mut errands = Errands::default();
+        let result = call(&mut self.driver.borrow_mut(), &mut errands);
+        errands.retired.into_iter().for_each(|backend| self.launcher.retire(backend));
+        errands.launches.into_iter().for_each(|launch| self.launcher.launch(self, launch));
+        for ticket in errands.moot {
+            self.settled(ticket, Ending::bare(Outcome::Moot));
+        }
+        if errands.ask {
+            self.asked.notify_one();
+        }
+        if errands.rearm {
+            self.timer.notify_one();
+        }
+        result
+    }
+}
+
+/// The settings name no such tenant.
+#[derive(Debug, thiserror::Error)]
+#[error("unknown tenant")]
+pub struct UnknownTenant;
+
+/// A request that is owed its answer.
+pub struct Waiting {
+    node: Node,
+    request: RequestId,
+    answer: oneshot::Receiver<Reply>,
+}
+
+impl Waiting {
+    /// The final answer.
+    pub async fn answer(mut self) -> Reply {
+        // The sender is dropped unused only if the request has vanished, which promises nothing.
+        (&mut self.answer).await.unwrap_or(Reply::Failed)
+    }
+}
+
+impl Drop for Waiting {
+    /// A client that hangs up takes its connection's task with it, and so this: the one place that notices.
+    fn drop(&mut self) {
+        let request = self.request;
+        self.node.tell(|driver, errands| driver.client_gone(request, errands));
+    }
+}
+
+impl Driver {
+    fn hear(&mut self, event: Event, errands: &mut Errands) {
+        let mut actions = Vec::new();
+        self.balancer.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.act(action, errands);
+        }
+    }
+
+    fn act(&mut self, action: Action, errands: &mut Errands) {
+        match action {
+            Action::Send { request, backend, timeout } => self.send(request, backend, timeout, errands),
+            Action::Refuse { request, pause } => self.finish(request, Reply::Refused(pause)),
+            Action::Fail { request } => self.finish(request, Reply::Failed),
+            Action::Cancel { request, attempt } => self.requests.withdraw(request, attempt),
+            // The settings may allow probes, but they cost the servers work and the module asks for none.
+            Action::Probe { backend } => {
+                tracing::warn!(backend = self.backends.uid(backend), "probe asked for; nodes make none");
+            }
+            Action::Watch => errands.ask = true,
+            Action::Fetch => {
+                self.whole_list = true;
+                errands.ask = true;
+            }
+            Action::Timer { after, token } => {
+                self.set_timer(self.clock.now().saturating_add(after), Due::Module(token), errands);
+            }
+            Action::Log(note) => self.log(note),
+        }
+    }
+
+    /// The module's notes, with the names that people know.
+    fn log(&self, note: Note) {
+        match note {
+            Note::Spill { home, spilling, best } => {
+                let (zone, best) = (self.words.zone_name(home), self.words.zone_name(best));
+                tracing::info!(zone, spilling, best, "home zone crossed the threshold");
+            }
+            Note::Ejected { backend, span, cause } => {
+                let backend = self.backends.uid(backend);
+                tracing::info!(backend, cause = ?cause, span_ms = span / 1_000_000, "backend ejected");
+            }
+            Note::Readmitted { backend } => {
+                tracing::info!(backend = self.backends.uid(backend), "backend readmitted");
+            }
+        }
+    }
+
+    fn set_timer(&mut self, at: Nanos, due: Due, errands: &mut Errands) {
+        errands.rearm |= self.timers.set(at, due);
+    }
+
+    fn fire(&mut self, errands: &mut Errands) {
+        let now = self.clock.now();
+        while let Some(due) = self.timers.pop(now) {
+            match due {
+                Due::Module(token) => self.hear(Event::Timer { token }, errands),
+                Due::Backstop(request) => self.backstop(request, errands),
+            }
+        }
+    }
+
+    /// Guards against a request that the module forgot: past the client's time it fails, come what may.
+    fn backstop(&mut self, request: RequestId, errands: &mut Errands) {
+        if self.requests.waits(request) {
+            tracing::warn!(request = self.requests.call_id(request), "a request had no answer at its end");
+            self.finish(request, Reply::Failed);
+            self.hear(Event::ClientGone { request }, errands);
+            self.requests.forget_if_done(request);
+        }
+    }
+
+    fn submit(&mut self, asked: Asked, reply: oneshot::Sender<Reply>, errands: &mut Errands) -> RequestId {
+        let not_after = self.clock.now().saturating_add(asked.budget);
+        let request = self.requests.open(asked.call, reply, not_after);
+        self.set_timer(not_after.saturating_add(BACKSTOP), Due::Backstop(request), errands);
+        let (class, budget_ms) = (asked.class, asked.budget / 1_000_000);
+        tracing::debug!(request = self.requests.call_id(request), class, budget_ms, "request taken");
+        let arrival = Arrival {
+            request,
+            class: ClassId(class),
+            hint: asked.hint,
+            repeat: asked.repeat,
+            tenant: asked.tenant,
+            not_after,
+        };
+        self.hear(Event::Request(arrival), errands);
+        self.requests.forget_if_done(request);
+        request
+    }
+
+    fn send(
+        &mut self,
+        request: RequestId,
+        backend: BackendId,
+        timeout: Option<Nanos>,
+        errands: &mut Errands,
+    ) {
+        let now = self.clock.now();
+        let Some(begun) = self.requests.begin(request, now) else { return };
+        let ticket = Ticket { request, attempt: begun.attempt, backend };
+        let Some(endpoint) = self.backends.endpoint(backend) else {
+            errands.moot.push(ticket);
+            return;
+        };
+        tracing::debug!(
+            request = self.requests.call_id(request),
+            attempt = begun.attempt,
+            backend = self.backends.uid(backend),
+            "attempt sent"
+        );
+        let end = timeout.map_or(Nanos::MAX, |timeout| now.saturating_add(timeout));
+        errands.launches.push(Launch {
+            ticket,
+            backend,
+            endpoint,
+            call: begun.call,
+            give_up: end.min(begun.not_after),
+            not_after: begun.not_after,
+            withdrawn: begun.withdrawn,
+        });
+    }
+
+    /// Gives the final answer. Only the first one of a request goes out.
+    fn finish(&mut self, request: RequestId, reply: Reply) {
+        let answer = reply.word();
+        if let Some(not_after) = self.requests.finish(request, reply) {
+            tracing::debug!(request = self.requests.call_id(request), answer, "request ended");
+            self.timers.clear(not_after.saturating_add(BACKSTOP), Due::Backstop(request));
+        }
+    }
+
+    fn settled(&mut self, ticket: Ticket, ending: Ending, errands: &mut Errands) {
+        let Ticket { request, attempt, backend } = ticket;
+        let Some(since) = self.requests.settle(request, attempt) else { return };
+        let elapsed = self.clock.now().saturating_sub(since);
+        let (outcome, report) = (ending.outcome, ending.report);
+        tracing::debug!(
+            request = self.requests.call_id(request),
+            attempt,
+            backend = self.backends.uid(backend),
+            ?outcome,
+            took_us = elapsed / 1000,
+            "attempt ended"
+        );
+        if outcome == Outcome::Served {
+            self.finish(request, Reply::Served(ending.body));
+        }
+        let ended = !self.requests.waits(request);
+        let settlement = Settlement { request, attempt, outcome, elapsed, ended, report };
+        self.hear(Event::Settled(settlement), errands);
+        self.requests.forget_if_done(request);
+    }
+
+    fn client_gone(&mut self, request: RequestId, errands: &mut Errands) {
+        if self.requests.waits(request) {
+            self.finish(request, Reply::Failed);
+            self.hear(Event::ClientGone { request }, errands);
+        }
+        self.requests.forget_if_done(request);
+    }
+
+    fn fleet(&mut self, scope: ListScope, list: Vec<Listed>, errands: &mut Errands) {
+        let now = self.clock.now();
+        tracing::debug!(scope = ?scope, count = list.len(), "list taken");
+        let changed = self.backends.take(scope, list, now, &mut self.words);
+        errands.retired.extend(changed.retired);
+        self.hear(Event::Fleet { scope, members: changed.members }, errands);
+        errands.retired.extend(self.backends.drop_left(changed.left));
+    }
+}
--- /dev/null
+++ b/node/src/driver/tests.rs
@@ -0,0 +1,198 @@
+//! The driver without sockets, and the pieces that other parts' tests take from it.
+
+use std::future::Future;
+use std::task::{Context, Poll, Waker};
+
+use brookfield::Stage;
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+
+use super::*;
+
+/// Keeps what it is asked to do.
+#[derive(Default)]
+pub struct Kept {
+    pub launches: RefCell<Vec<Launch>>,
+    pub retired: RefCell<Vec<BackendId>>,
+}
+
+impl Launcher for Kept {
+    fn launch(&self, _: &Node, launch: Launch) {
+        self.launches.borrow_mut().push(launch);
+    }
+
+    fn retire(&self, backend: BackendId) {
+        self.retired.borrow_mut().push(backend);
+    }
+}
+
+pub fn node(drain_grace: Nanos) -> (Node, Rc<Kept>) {
+    node_with(drain_grace, "pushed")
+}
+
+fn node_with(drain_grace: Nanos, discovery: &str) -> (Node, Rc<Kept>) {
+    let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": discovery,
+        "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
+            "deadline-ns": 4_000_000_000u64}],
+        "policy-limits": {"attempts-cap": 3}, "goal": {},
+        "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": drain_grace, "fall-ns": 1_500_000_000u64,
+            "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000u64}});
+    let site = brookfield_settings::read(&config).expect("settings");
+    let kept = Rc::new(Kept::default());
+    let node = Node::new(site.settings, site.words, 7, Clock::start(), kept.clone()).expect("a node");
+    (node, kept)
+}
+
+pub fn listed(uid: &str, stage: Stage) -> Listed {
+    Listed {
+        uid: uid.to_owned(),
+        endpoint: SocketAddr::from(([127, 0, 0, 1], 9)),
+        zone: "a".to_owned(),
+        kind: "k".to_owned(),
+        cell: 0,
+        stage,
+        size: 1.0,
+        boot_ms: 0,
+    }
+}
+
+pub fn asked(budget: Nanos) -> Asked {
+    let call = Call {
+        method: Method::POST,
+        target: Uri::from_static("/api"),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+    };
+    Asked { class: 0, tenant: None, hint: None, repeat: false, budget, call }
+}
+
+/// A connected pair of sockets, of which the second takes none of TCP's options.
+pub fn optionless() -> (tokio::net::UnixStream, tokio::net::TcpStream) {
+    let (peer, stream) = std::os::unix::net::UnixStream::pair().expect("a pair");
+    peer.set_nonblocking(true).and(stream.set_nonblocking(true)).expect("not blocking");
+    let stream = std::net::TcpStream::from(std::os::fd::OwnedFd::from(stream));
+    let peer = tokio::net::UnixStream::from_std(peer).expect("in the runtime");
+    let stream = tokio::net::TcpStream::from_std(stream).expect("in the runtime");
+    assert!(stream.set_nodelay(true).is_err(), "takes the option");
+    (peer, stream)
+}
+
+fn reply(waiting: Waiting) -> Option<Reply> {
+    let mut answer = std::pin::pin!(waiting.answer());
+    match answer.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+        Poll::Ready(reply) => Some(reply),
+        Poll::Pending => None,
+    }
+}
+
+fn open_requests(node: &Node) -> (usize, usize) {
+    let driver = node.driver.borrow();
+    (driver.requests.len(), driver.balancer.open_requests())
+}
+
+pub const SECOND: Nanos = 1_000_000_000;
+
+#[test]
+fn a_request_and_its_timer_are_forgotten_with_its_answer() {
+    let (node, kept) = node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let waiting = node.submit(asked(SECOND));
+    let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    assert!(node.may_write(launch.ticket));
+    let ending = Ending { body: Bytes::from_static(b"paid"), ..Ending::bare(Outcome::Served) };
+    node.settled(launch.ticket, ending);
+    assert!(matches!(reply(waiting), Some(Reply::Served(body)) if body == "paid"));
+    // A second end of the same attempt changes nothing.
+    node.settled(launch.ticket, Ending::bare(Outcome::Reset));
+    assert_eq!(open_requests(&node), (0, 0));
+    assert!(!node.driver.borrow().timers.all().any(|due| matches!(due, Due::Backstop(_))));
+}
+
+/// A connect can outlast its request: what is written after the answer would be a send too many.
+#[test]
+fn nothing_is_written_for_a_request_that_has_ended() {
+    let (node, kept) = node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let waiting = node.submit(asked(SECOND));
+    let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    drop(waiting);
+    assert!(!node.may_write(launch.ticket));
+    assert_eq!(open_requests(&node), (1, 1), "the attempt is still owed its end");
+    node.settled(launch.ticket, Ending::bare(Outcome::Moot));
+    assert_eq!(open_requests(&node), (0, 0));
+}
+
+/// A connect can outlast the grace of a backend that drains, and the backend's stay on the list.
+#[test]
+fn nothing_is_written_to_a_backend_past_its_grace() {
+    for (grace, stage, may) in
+        [(60 * SECOND, Stage::Draining, true), (0, Stage::Draining, false), (60 * SECOND, Stage::Gone, false)]
+    {
+        let (node, kept) = node(grace);
+        node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+        let _waiting = node.submit(asked(SECOND));
+        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        node.fleet(ListScope::Changes, vec![listed("s", stage)]);
+        assert_eq!(node.may_write(launch.ticket), may, "{grace} {stage:?}");
+        assert_eq!(*kept.retired.borrow(), [launch.backend; 2][..kept.retired.borrow().len()]);
+        assert!(!kept.retired.borrow().is_empty(), "its idle connections are dropped");
+    }
+}
+
+/// The attempt never ends, so the module has nothing to go by: the driver answers at the client's end.
+#[test]
+fn a_request_that_the_module_leaves_open_fails_at_its_end() {
+    let (node, kept) = node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let waiting = node.submit(asked(1_000_000));
+    let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+    let answer = runtime.block_on(async {
+        tokio::select! {
+            reply = waiting.answer() => reply,
+            () = node.run_timers() => unreachable!("timers run for ever"),
+        }
+    });
+    assert!(matches!(answer, Reply::Failed));
+    assert!(!node.may_write(launch.ticket));
+}
+
+/// A restarted backend is cold again, by the node's own clock, and what stood open to its last life is dead.
+#[test]
+fn a_restart_under_the_same_name_is_told_and_drops_connections() {
+    let (node, kept) = node(SECOND);
+    let boot_ms = node.clock().now() / 1_000_000 - 5;
+    let mut retired = Vec::new();
+    let mut driver = node.driver.borrow_mut();
+    let Driver { backends, words, clock, .. } = &mut *driver;
+    let mut member = |listed| backends.member(listed, 0, words, &mut retired).expect("a member");
+    let first = member(listed("s", Stage::InService));
+    let again = Listed { boot_ms, ..listed("s", Stage::InService) };
+    let second = member(again);
+    assert_eq!(first.online_since, None);
+    assert_eq!(second.backend, first.backend);
+    assert_eq!(retired, [first.backend]);
+    let age = clock.now() - second.online_since.expect("a start");
+    assert!((4_000_000..60 * SECOND).contains(&age), "{age}");
+    assert!(kept.launches.borrow().is_empty());
+}
+
+/// Restarted nodes whose first call was turned away all called again in the same millisecond.
+#[test]
+fn a_failed_call_is_not_made_again_on_a_wish_from_before() {
+    let (node, _kept) = node_with(SECOND, "on_request");
+    let wanted = |node: &Node| {
+        let mut wanted = std::pin::pin!(node.discovery_wanted());
+        wanted.as_mut().poll(&mut Context::from_waker(Waker::noop())).is_ready()
+    };
+    node.fleet_failed();
+    assert!(!wanted(&node), "called again at once");
+    // The module's next wish, after its wait, is heeded.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("a runtime");
+    runtime.block_on(async {
+        tokio::select! {
+            () = node.discovery_wanted() => {}
+            () = node.run_timers() => unreachable!("timers run for ever"),
+        }
+    });
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -28,6 +28,11 @@
         ZoneId(position(&mut self.zones, name))
     }
 
+    /// A zone's name, for people.
+    pub fn zone_name(&self, zone: ZoneId) -> &str {
+        self.zones.get(zone.0 as usize).map_or("-", String::as_str)
+    }
+
     /// A machine kind's number; a new name gets a new one.
     pub fn kind(&mut self, name: &str) -> u32 {
         position(&mut self.kinds, name)
