Log in fields, by filter, as text or JSON, and bound what repeats

The node's log was sentences with figures in them, at one fixed level, without any bound: nothing that a program could follow a request through, and a failing fleet wrote as much as it failed.

Lines are now constant messages with fields (backend, zone, request, cause, count). `EDGE_LOG` filters, `info` as before if it is absent or can't be read; `EDGE_LOG_FORMAT=json` writes JSON lines. From `info` on each place in the code may write ten lines a second; what is left out is counted and told in a line of its own, by a task that does not wake while nothing is. At `debug` each request's steps are there under its client's id.

--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -94,14 +94,28 @@
     Body(Box<dyn std::error::Error + Send + Sync>),
     #[error("answered {0}")]
     Status(StatusCode),
-    #[error("not a list: {0}")]
+    #[error("{0}")]
     Malformed(#[from] serde_json::Error),
-    #[error("no answer in time")]
+    #[error("silent")]
     Late,
     #[error("no such request: {0}")]
     Request(#[from] hyper::http::Error),
 }
 
+impl CallError {
+    /// What went wrong, without figures.
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Connect(_) => "no connection",
+            Self::Broken(_) | Self::Body(_) => "the call broke",
+            Self::Status(_) => "turned away",
+            Self::Malformed(_) => "not a list",
+            Self::Late => "no answer in time",
+            Self::Request(_) => "no such request",
+        }
+    }
+}
+
 /// Follows the list.
 pub struct Watch {
     node: Node,
@@ -143,7 +157,7 @@
                     self.take(list);
                 }
                 Some(Err(error)) => {
-                    tracing::warn!("discovery: {error}");
+                    tracing::warn!(cause = %error, "{}", error.kind());
                     self.link = None;
                     self.node.fleet_failed();
                     tokio::select! {
@@ -216,7 +230,7 @@
     let (link, connection) = handshake(TokioIo::new(stream)).await?;
     spawn_local(async move {
         if let Err(error) = connection.await {
-            tracing::debug!("connection to discovery: {error}");
+            tracing::debug!(cause = %error, "the connection broke");
         }
     });
     Ok(link)
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,12 +5,14 @@
 
 mod discovery;
 mod driver;
+mod log;
 mod server;
 mod upstream;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -71,8 +73,7 @@
 }
 
 fn main() -> ExitCode {
-    tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).init();
-    match start() {
+    match start(log::start()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("badgerpost: {error}");
@@ -81,10 +82,10 @@
     }
 }
 
-fn start() -> Result<(), StartError> {
+fn start(log: Arc<log::Bound>) -> Result<(), StartError> {
     let config = read_config()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    LocalSet::new().block_on(&runtime, serve(config, log))
 }
 
 fn read_config() -> Result<Config, StartError> {
@@ -96,7 +97,8 @@
     serde_json::from_slice(&text).map_err(|source| StartError::Malformed { path, source })
 }
 
-async fn serve(config: Config) -> Result<(), StartError> {
+async fn serve(config: Config, log: Arc<log::Bound>) -> Result<(), StartError> {
+    spawn_local(log.report());
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     let (clients, backends) = shares(config.limits.sockets)?;
@@ -112,7 +114,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let listener =
         listen(config.listen).map_err(|source| StartError::Listen { at: config.listen, source })?;
-    tracing::info!("{} serves at {}", config.name, listener.local_addr()?);
+    tracing::info!(node = config.name, listen = %listener.local_addr()?, "serves");
     spawn_local(reconfigure(hangup, discovery));
     spawn_local(watch.run());
     let timers = node.clone();
@@ -121,7 +123,7 @@
     let deadline = node.longest_deadline();
     let served = spawn_local(server::run(listener, node, clients, phases));
     asked_to_stop(&mut terminate, &mut interrupt).await;
-    tracing::info!("{} stops", config.name);
+    tracing::info!(node = config.name, "stops");
     phase.send_replace(Phase::Stopping);
     sleep(STILL_TAKES).await;
     phase.send_replace(Phase::Closing);
@@ -156,11 +158,11 @@
     while hangup.recv().await.is_some() {
         match read_config() {
             Ok(config) => {
-                tracing::info!("discovery is at {}", config.discovery);
+                tracing::info!(discovery = %config.discovery, "configuration read again");
                 discovery.send_replace(config.discovery);
             }
             // The node goes on as it was.
-            Err(error) => tracing::error!("{error}"),
+            Err(error) => tracing::error!(cause = %error, "configuration not taken"),
         }
     }
 }
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -111,7 +111,7 @@
                     welcome(stream, &node, slot, &phase, scarcity);
                 }
                 Err(error) => {
-                    tracing::warn!("accept: {error}");
+                    tracing::warn!(cause = %error, "accept failed");
                     sleep(ACCEPT_AGAIN).await;
                 }
             }
@@ -141,7 +141,7 @@
         let _slot = slot;
         without_delay(&stream);
         if let Err(error) = converse(stream, node, phase, scarcity).await {
-            tracing::debug!("client: {error}");
+            tracing::debug!(cause = %error, "a client's connection broke");
         }
     });
 }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -95,7 +95,7 @@
 /// that is no reason to lose them.
 pub fn without_delay(stream: &TcpStream) {
     if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!("no delay: {error}");
+        tracing::debug!(cause = %error, "small writes may be held back");
     }
 }
 
@@ -266,7 +266,7 @@
         spawn_local(async move {
             let _counted = counted;
             if let Err(error) = connection.await {
-                tracing::debug!("connection to {endpoint}: {error}");
+                tracing::debug!(%endpoint, cause = %error, "a connection to a backend broke");
             }
         });
         Some(link)
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -291,16 +291,17 @@
 
 /// Starts the program on this text of a configuration.
 pub fn spawn(config: &str) -> Child {
-    spawn_with_file(config).0
+    spawn_with_file(config, &[]).0
 }
 
-fn spawn_with_file(config: &str) -> (Child, PathBuf) {
+fn spawn_with_file(config: &str, variables: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("badgerpost-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_badgerpost"))
         .env("EDGE_CONFIG", &path)
+        .envs(variables.iter().copied())
         .stdin(Stdio::null())
         .stdout(Stdio::null())
         .stderr(Stdio::piped())
@@ -312,8 +313,13 @@
 fn listening(reader: &mut BufReader<ChildStderr>) -> SocketAddr {
     let mut line = String::new();
     while reader.read_line(&mut line).unwrap() > 0 {
-        if let Some((_, at)) = line.trim_end().split_once("serves at ") {
-            return at.parse().unwrap();
+        if let Ok(fields) = serde_json::from_str::<Value>(&line) {
+            if let Some(at) = fields["listen"].as_str() {
+                return at.parse().unwrap();
+            }
+        } else if let Some((_, fields)) = line.split_once(" serves ") {
+            let at = fields.split_whitespace().find_map(|field| field.strip_prefix("listen="));
+            return at.expect("the address").parse().unwrap();
         }
         line.clear();
     }
@@ -322,7 +328,12 @@
 
 impl Node {
     pub fn start(config: &Value) -> Self {
-        let (mut child, config) = spawn_with_file(&config.to_string());
+        Self::start_with(config, &[])
+    }
+
+    /// Starts with these environment variables too.
+    pub fn start_with(config: &Value, variables: &[(&str, &str)]) -> Self {
+        let (mut child, config) = spawn_with_file(&config.to_string(), variables);
         let mut reader = BufReader::new(child.stderr.take().unwrap());
         let at = listening(&mut reader);
         let log = Arc::new(Mutex::new(String::new()));
@@ -349,6 +360,11 @@
         self.log.lock().unwrap().contains(text)
     }
 
+    /// The lines of the log so far that hold this text.
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
+        self.log.lock().unwrap().lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -246,3 +246,35 @@
     clients.clear();
     assert_eq!(last.join().unwrap(), 200);
 }
+
+/// A request that ended wrongly is followed by its client's id through the log, by a program as well as a person.
+#[test]
+fn each_step_of_a_request_is_a_line_that_a_program_can_read() {
+    let backend = serving("yes");
+    let config = config(nowhere(), json!([target("s-0", backend.at, "Ready")]));
+    let node = Node::start_with(&config, &[("EDGE_LOG", "debug"), ("EDGE_LOG_FORMAT", "json")]);
+    assert_eq!(node.ask(&get("followed", "")).status(), 200);
+    until("its end is logged", || node.logged("request ended"));
+    let lines: Vec<serde_json::Value> = node
+        .log_lines("followed")
+        .iter()
+        .map(|line| serde_json::from_str(line).expect("a JSON object a line"))
+        .collect();
+    let steps: Vec<&str> = lines.iter().filter_map(|line| line["message"].as_str()).collect();
+    assert_eq!(steps, ["request taken", "attempt sent", "attempt ended", "request ended"], "{lines:?}");
+    assert!(lines.iter().all(|line| line["request"] == "followed"), "{lines:?}");
+    assert_eq!((&lines[1]["backend"], &lines[2]["outcome"]), (&json!("s-0"), &json!("Served")));
+    assert_eq!(lines[3]["answer"], "served");
+}
+
+/// Many nodes under load must not fill a disk.
+#[test]
+fn at_the_usual_level_requests_leave_no_lines() {
+    let backend = serving("yes");
+    let node = Node::start(&config(nowhere(), json!([target("s-0", backend.at, "Ready")])));
+    let mut client = Client::to(node.at);
+    for n in 0..50 {
+        assert_eq!(client.ask(&get(&format!("q{n}"), "")).expect("an answer").status(), 200);
+    }
+    assert_eq!(node.log_lines("request").len(), 0);
+}
