--- /dev/null
+++ b/model/src/ledger.rs
@@ -0,0 +1,349 @@
+//! What every run checks, whatever is played: the book of all requests, from what clients, nodes and servers saw.
+//!
+//! It is told facts and remembers broken rules with the request's id. It knows nothing of how the facts came about,
+//! so the same book serves virtual time and real sockets.
+
+use std::collections::HashMap;
+
+use brookfield::Nanos;
+use serde::{Deserialize, Serialize};
+
+use crate::plan::Effect;
+
+/// Broken ones that are kept with their details, for each rule; the count goes on.
+const MOST_BREACHES: usize = 50;
+
+/// The rules that are checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Rule {
+    /// Each request gets one final outcome within its time.
+    OneOutcome,
+    /// What must run once never runs twice, and is not refused once it may have run.
+    RunsOnce,
+    /// A keyed repeat goes to the group and in the window of the first only.
+    KeyedInGroup,
+    /// No two attempts of one request are out together.
+    NeverTwoOut,
+    /// Nothing new goes to a draining server after the grace.
+    DrainKept,
+    /// No cold server is pushed over.
+    ColdSpared,
+    /// A server gets only what a client asked for.
+    KnownOnly,
+    /// Memory and descriptors of each process stay within their bounds.
+    ProcessBounds,
+    /// Every process that was started has ended, and none ended by itself.
+    ProcessesEnded,
+}
+
+/// All rules, in the order of a report.
+pub const RULES: [Rule; 9] = [
+    Rule::OneOutcome,
+    Rule::RunsOnce,
+    Rule::KeyedInGroup,
+    Rule::NeverTwoOut,
+    Rule::DrainKept,
+    Rule::ColdSpared,
+    Rule::KnownOnly,
+    Rule::ProcessBounds,
+    Rule::ProcessesEnded,
+];
+
+impl Rule {
+    /// Its name in results.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OneOutcome => "one_outcome",
+            Self::RunsOnce => "runs_once",
+            Self::KeyedInGroup => "keyed_in_group",
+            Self::NeverTwoOut => "never_two_out",
+            Self::DrainKept => "drain_kept",
+            Self::ColdSpared => "cold_spared",
+            Self::KnownOnly => "known_only",
+            Self::ProcessBounds => "process_bounds",
+            Self::ProcessesEnded => "processes_ended",
+        }
+    }
+}
+
+/// One broken rule.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Breach {
+    /// The request's id as it stands in the logs, or the name of what else is concerned.
+    pub id: String,
+    /// When, in milliseconds from the start of the load.
+    pub at_ms: f64,
+    /// What was seen.
+    pub what: String,
+}
+
+/// How often a rule was checked, and what broke it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Invariant {
+    /// The rule.
+    pub name: String,
+    /// Times that it was checked.
+    pub checked: u64,
+    /// Times that it was broken.
+    pub broken: u64,
+    /// The first broken ones.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub breaches: Vec<Breach>,
+}
+
+/// How a request ended, by what its client was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// Served.
+    Served,
+    /// Refused: trying again does no harm.
+    Refused,
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// The time limits of the rules.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// How long past a request's time an answer is still one.
+    pub answer_slack: Nanos,
+    /// How long past its word a node may send to a draining server.
+    pub drain_grace: Nanos,
+    /// By how much the times of two observers may differ.
+    pub observers: Nanos,
+}
+
+struct Attempt {
+    server: u32,
+    cell: u64,
+    began: Nanos,
+    ended: Option<Nanos>,
+    may_have_run: bool,
+}
+
+struct Record {
+    effect: Effect,
+    window: Nanos,
+    not_after: Nanos,
+    excused: bool,
+    answered: Option<(Answer, Nanos)>,
+    attempts: Vec<Attempt>,
+    last: Nanos,
+}
+
+/// The book.
+pub struct Ledger {
+    limits: Limits,
+    start: Nanos,
+    open: HashMap<u64, Record>,
+    invariants: Vec<Invariant>,
+}
+
+/// A request's id as it stands in the logs and on the wire.
+pub fn wire_id(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+impl Ledger {
+    /// An empty book; times in breaches count from `start`.
+    pub fn new(limits: Limits, start: Nanos) -> Self {
+        let named = |rule: &Rule| Invariant { name: rule.name().to_owned(), ..Invariant::default() };
+        Self { limits, start, open: HashMap::new(), invariants: RULES.iter().map(named).collect() }
+    }
+
+    /// Counts a check of a rule.
+    pub fn check(&mut self, rule: Rule) {
+        self.invariants[rule as usize].checked += 1;
+    }
+
+    /// Notes a broken rule.
+    pub fn breach(&mut self, rule: Rule, id: String, at: Nanos, what: String) {
+        let invariant = &mut self.invariants[rule as usize];
+        invariant.broken += 1;
+        if invariant.breaches.len() < MOST_BREACHES {
+            let at_ms = at.saturating_sub(self.start) as f64 / 1e6;
+            invariant.breaches.push(Breach { id, at_ms, what });
+        }
+    }
+
+    /// A client has sent a request.
+    pub fn asked(&mut self, id: u64, effect: Effect, window: Nanos, not_after: Nanos, now: Nanos) {
+        let record = Record {
+            effect,
+            window,
+            not_after,
+            excused: false,
+            answered: None,
+            attempts: Vec::new(),
+            last: now,
+        };
+        self.open.insert(id, record);
+    }
+
+    /// A request's node was killed, paused or cut off from its client: no answer is owed in time.
+    pub fn excuse(&mut self, id: u64) {
+        self.open.get_mut(&id).into_iter().for_each(|record| record.excused = true);
+    }
+
+    /// A request has reached a server, whose node had been told at `drains` that it drains. The attempt's number.
+    pub fn arrived(
+        &mut self,
+        id: u64,
+        server: u32,
+        cell: u64,
+        drains: Option<Nanos>,
+        now: Nanos,
+    ) -> Option<usize> {
+        self.check(Rule::KnownOnly);
+        let (limits, start) = (self.limits, self.start);
+        let Some(record) = self.open.get_mut(&id) else {
+            self.breach(
+                Rule::KnownOnly,
+                wire_id(id),
+                now,
+                format!("server {server} got an id that nobody sent"),
+            );
+            return None;
+        };
+        record.last = now;
+        let since = |at: Nanos| at.saturating_sub(start) as f64 / 1e6;
+        let mut broken: Vec<(Rule, String)> = Vec::new();
+        let mut checked = Vec::new();
+        if let Some(first) = record.attempts.iter().find(|attempt| attempt.may_have_run) {
+            match record.effect {
+                Effect::Repeatable => {}
+                Effect::Once => {
+                    checked.push(Rule::RunsOnce);
+                    broken.push((
+                        Rule::RunsOnce,
+                        format!("server {server} got it after server {} may have run it", first.server),
+                    ));
+                }
+                Effect::Keyed => {
+                    checked.push(Rule::KeyedInGroup);
+                    let age = now.saturating_sub(first.began);
+                    if first.cell != cell {
+                        broken.push((Rule::KeyedInGroup, format!("group {cell} after group {}", first.cell)));
+                    } else if age > record.window + limits.observers {
+                        let (age, window) = (age / 1_000_000, record.window / 1_000_000);
+                        broken.push((
+                            Rule::KeyedInGroup,
+                            format!("{age} ms after the first, past {window} ms"),
+                        ));
+                    }
+                }
+            }
+        }
+        checked.push(Rule::DrainKept);
+        if let Some(told) = drains.filter(|told| now > told + limits.drain_grace + limits.observers) {
+            broken.push((
+                Rule::DrainKept,
+                format!("server {server} drains, as its node was told at {:.0} ms", since(told)),
+            ));
+        }
+        record.attempts.push(Attempt { server, cell, began: now, ended: None, may_have_run: true });
+        let number = record.attempts.len() - 1;
+        checked.into_iter().for_each(|rule| self.check(rule));
+        for (rule, what) in broken {
+            self.breach(rule, wire_id(id), now, what);
+        }
+        Some(number)
+    }
+
+    /// An attempt is no longer out. `ran` is false where it surely never ran.
+    pub fn ended(&mut self, id: u64, attempt: usize, ran: bool, now: Nanos) {
+        let limits = self.limits;
+        let Some(record) = self.open.get_mut(&id) else { return };
+        record.last = record.last.max(now);
+        let Some(ended) = record.attempts.get_mut(attempt).filter(|attempt| attempt.ended.is_none()) else {
+            return;
+        };
+        ended.ended = Some(now);
+        ended.may_have_run &= ran;
+        // Out together with the next one, by more than two observers' clocks can tell.
+        let overlap = record.attempts.get(attempt + 1).filter(|next| now > next.began + limits.observers);
+        let overlap = overlap.map(|next| (next.server, (now - next.began) / 1_000_000));
+        self.check(Rule::NeverTwoOut);
+        if let Some((server, ms)) = overlap {
+            self.breach(
+                Rule::NeverTwoOut,
+                wire_id(id),
+                now,
+                format!("out for {ms} ms beside one at {server}"),
+            );
+        }
+    }
+
+    /// A client was told how its request ended.
+    pub fn answered(&mut self, id: u64, answer: Answer, now: Nanos) {
+        let limits = self.limits;
+        let Some(record) = self.open.get_mut(&id) else { return };
+        record.last = record.last.max(now);
+        let mut broken: Vec<(Rule, String)> = Vec::new();
+        if record.answered.is_some() {
+            broken.push((Rule::OneOutcome, "a second answer".to_owned()));
+        } else if !record.excused && now > record.not_after + limits.answer_slack {
+            let late = (now - record.not_after) / 1_000_000;
+            broken.push((Rule::OneOutcome, format!("answered {late} ms after its time")));
+        }
+        let ran = record.attempts.iter().find(|attempt| attempt.may_have_run).map(|attempt| attempt.server);
+        if let (Answer::Refused, Some(server), false) = (answer, ran, record.effect == Effect::Repeatable) {
+            broken.push((Rule::RunsOnce, format!("refused though server {server} may have run it")));
+        }
+        record.answered = Some((answer, now));
+        self.check(Rule::OneOutcome);
+        self.check(Rule::RunsOnce);
+        for (rule, what) in broken {
+            self.breach(rule, wire_id(id), now, what);
+        }
+    }
+
+    /// A request's time is over: its account is closed. Its attempts may still be out.
+    pub fn close(&mut self, id: u64, now: Nanos) {
+        let Some(record) = self.open.get(&id) else { return };
+        let lost = record.answered.is_none() && !record.excused;
+        if lost {
+            self.check(Rule::OneOutcome);
+            self.breach(Rule::OneOutcome, wire_id(id), now, "no answer within its time".to_owned());
+        }
+        self.drop_if_done(id);
+    }
+
+    /// Drops a closed request that has nothing out.
+    pub fn drop_if_done(&mut self, id: u64) {
+        let done = |record: &Record| record.attempts.iter().all(|attempt| attempt.ended.is_some());
+        if self.open.get(&id).is_some_and(done) {
+            self.open.remove(&id);
+        }
+    }
+
+    /// Drops what nothing was heard of since then.
+    pub fn forget_before(&mut self, then: Nanos) {
+        self.open.retain(|_, record| record.last >= then);
+    }
+
+    /// A cold server fell over.
+    pub fn fell(&mut self, server: &str, now: Nanos) {
+        self.breach(Rule::ColdSpared, server.to_owned(), now, "pushed over while cold".to_owned());
+    }
+
+    /// Requests that are still in the book.
+    pub fn open(&self) -> usize {
+        self.open.len()
+    }
+
+    /// The rules as checked so far.
+    pub fn invariants(&self) -> &[Invariant] {
+        &self.invariants
+    }
+
+    /// Adds another book's checks to this one's.
+    pub fn merge(&mut self, other: &Self) {
+        for (own, other) in self.invariants.iter_mut().zip(&other.invariants) {
+            own.checked += other.checked;
+            own.broken += other.broken;
+            let room = MOST_BREACHES.saturating_sub(own.breaches.len());
+            own.breaches.extend(other.breaches.iter().take(room).cloned());
+        }
+    }
+}
--- /dev/null
+++ b/model/src/lib.rs
@@ -0,0 +1,21 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! A model of what flaxdale's nodes serve: app servers, clients, links and their troubles, without sockets or clocks.
+//!
+//! [`plan`] is what a person writes, [`world`] the same with every figure drawn from a seed, [`timeline`] what is known
+//! of it beforehand. [`server`] is one app server, [`clients`] what is asked for and again, [`ledger`] the rules that
+//! every run checks, [`measure`] what it comes to. These serve two drivers: real processes on sockets, in the rig, and
+//! [`run`], which plays the decision module itself in virtual time.
+
+pub mod clients;
+pub mod ledger;
+pub mod measure;
+pub mod module;
+mod ordered;
+pub mod plan;
+pub mod run;
+pub mod server;
+mod shard;
+mod slab;
+pub mod timeline;
+pub mod world;
--- /dev/null
+++ b/model/src/plan.rs
@@ -0,0 +1,776 @@
+//! What is to be played, as a person writes it: a fleet, its load, its links and its troubles, with a range wherever
+//! a figure may be drawn. Every field has a default, so that an empty plan plays. [`Plan::check`] tells what makes
+//! no sense; [`World::draw`](crate::world::World::draw) turns a plan and a seed into figures.
+
+use std::fmt;
+use std::ops::Range as Bytes;
+
+use serde::de::{self, SeqAccess, Visitor};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+/// Bounds of what a plan may ask for: what one machine's descriptors and memory bear.
+pub const MOST_NODES: u32 = 2_000;
+/// See [`MOST_NODES`].
+pub const MOST_SERVERS: u32 = 5_000;
+/// See [`MOST_NODES`].
+pub const MOST_ZONES: usize = 64;
+/// Seconds that a run may last at most.
+pub const MOST_SECONDS: f64 = 7_200.0;
+/// Requests a second that a plan may ask for at most.
+pub const MOST_RPS: f64 = 1_000_000.0;
+/// Faults in a plan.
+pub const MOST_FAULTS: usize = 1_000;
+
+/// A figure, or the range that it is drawn from: `5` or `[2, 8]`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Range {
+    /// The one end.
+    pub from: f64,
+    /// The other, which may be the lower one.
+    pub to: f64,
+}
+
+impl Range {
+    /// A range of one figure.
+    pub const fn only(value: f64) -> Self {
+        Self { from: value, to: value }
+    }
+
+    /// A range between two figures.
+    pub const fn of(from: f64, to: f64) -> Self {
+        Self { from, to }
+    }
+
+    /// The figure at a share of the way, 0 to 1.
+    pub fn at(&self, share: f64) -> f64 {
+        self.from + (self.to - self.from) * share
+    }
+
+    fn low(&self) -> f64 {
+        self.from.min(self.to)
+    }
+
+    fn high(&self) -> f64 {
+        self.from.max(self.to)
+    }
+}
+
+impl Serialize for Range {
+    fn serialize<S: Serializer>(&self, out: S) -> Result<S::Ok, S::Error> {
+        if self.from == self.to { out.serialize_f64(self.from) } else { [self.from, self.to].serialize(out) }
+    }
+}
+
+impl<'de> Deserialize<'de> for Range {
+    fn deserialize<D: Deserializer<'de>>(input: D) -> Result<Self, D::Error> {
+        struct Read;
+        impl<'de> Visitor<'de> for Read {
+            type Value = Range;
+
+            fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str("a number, or a range of two such as [2, 8]")
+            }
+
+            fn visit_f64<E: de::Error>(self, value: f64) -> Result<Range, E> {
+                if value.is_finite() {
+                    Ok(Range::only(value))
+                } else {
+                    Err(E::custom("a finite number is wanted"))
+                }
+            }
+
+            fn visit_i64<E: de::Error>(self, value: i64) -> Result<Range, E> {
+                Ok(Range::only(value as f64))
+            }
+
+            fn visit_u64<E: de::Error>(self, value: u64) -> Result<Range, E> {
+                Ok(Range::only(value as f64))
+            }
+
+            fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Range, A::Error> {
+                let wanted = || de::Error::custom("a range has two numbers, such as [2, 8]");
+                let from: f64 = seq.next_element()?.ok_or_else(wanted)?;
+                let to: f64 = seq.next_element()?.ok_or_else(wanted)?;
+                if seq.next_element::<f64>()?.is_some() || !from.is_finite() || !to.is_finite() {
+                    return Err(wanted());
+                }
+                Ok(Range { from, to })
+            }
+        }
+        input.deserialize_any(Read)
+    }
+}
+
+/// Where in its file something stands, as a span of bytes; empty where it came from no file.
+pub type Span = Bytes<usize>;
+
+/// What is wrong with a plan.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    /// The key at fault, as `fault[2].zone`.
+    pub key: String,
+    /// What is wrong, and what would be right.
+    pub text: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.key, self.text)
+    }
+}
+
+impl std::error::Error for Problem {}
+
+/// What is to be played.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Plan {
+    /// Nodes, servers and zones.
+    pub fleet: Fleet,
+    /// What clients ask for.
+    pub load: Load,
+    /// Delays between the parties.
+    pub network: Network,
+    /// The list service.
+    pub discovery: Discovery,
+    /// The figures of the rules.
+    pub rules: Rules,
+    /// Machine kinds; the usual three if none is named.
+    #[serde(rename = "kind")]
+    pub kinds: Vec<Kind>,
+    /// Request classes; `segment-save` and `minutes-sign` if none is named.
+    #[serde(rename = "class")]
+    pub classes: Vec<Class>,
+    /// Customers; none if none is named.
+    #[serde(rename = "tenant")]
+    pub tenants: Vec<Tenant>,
+    /// What goes wrong, and when.
+    #[serde(rename = "fault")]
+    pub faults: Vec<Fault>,
+}
+
+/// Nodes, servers and zones.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// How many nodes, dealt out over the zones in turn.
+    pub nodes: u32,
+    /// How many app servers.
+    pub servers: u32,
+    /// Each zone's part of the servers against the others'; even if none is named.
+    pub sizes: Vec<f64>,
+    /// App servers that share the keys they have seen, in a group.
+    pub group: Range,
+    /// Whether crowded servers turn slow.
+    pub chokes: bool,
+    /// Whether answers carry load reports.
+    pub reports: bool,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            zones: vec!["hervanta".to_owned(), "lielahti".to_owned()],
+            nodes: 3,
+            servers: 8,
+            sizes: Vec::new(),
+            group: Range::of(6.0, 10.0),
+            chokes: false,
+            reports: false,
+        }
+    }
+}
+
+/// When a client comes again after an answer that did not serve it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Again {
+    /// Never.
+    Never,
+    /// At once.
+    AtOnce,
+    /// After a wait that doubles.
+    Later,
+}
+
+/// What clients ask for.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Load {
+    /// Requests a second over all nodes; `utilisation` decides if absent.
+    pub rps: Option<f64>,
+    /// Share of what the servers can do, if `rps` is absent.
+    pub utilisation: f64,
+    /// How far it swings up and down, as a share.
+    pub swing: Range,
+    /// Seconds from one crest to the next.
+    pub wave_s: Range,
+    /// How much more one zone is asked for than another, as a share.
+    pub zone_skew: Range,
+    /// When a client comes again.
+    pub again: Again,
+    /// How often at most.
+    pub retries: u32,
+    /// The first wait before it, in milliseconds.
+    pub backoff_ms: Range,
+    /// Share of the clients that heed `Retry-After`.
+    pub heeds: Range,
+    /// A try is given up after this share of the class's deadline.
+    pub try_share: Range,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            rps: None,
+            utilisation: 0.5,
+            swing: Range::of(0.1, 0.2),
+            wave_s: Range::of(8.0, 15.0),
+            zone_skew: Range::of(0.05, 0.3),
+            again: Again::Later,
+            retries: 2,
+            backoff_ms: Range::of(23.0, 180.0),
+            heeds: Range::of(0.28, 0.44),
+            try_share: Range::of(0.4, 1.0),
+        }
+    }
+}
+
+/// Delays between the parties, one way.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// Within a zone, in milliseconds.
+    pub same_ms: Range,
+    /// Between zones, in milliseconds.
+    pub cross_ms: Range,
+    /// Relative spread of each delay.
+    pub jitter: Range,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self { same_ms: Range::of(0.16, 0.34), cross_ms: Range::of(4.8, 8.6), jitter: Range::of(0.09, 0.31) }
+    }
+}
+
+/// The list service.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Discovery {
+    /// A change reaches the nodes so many seconds after it happened.
+    pub notice_s: Range,
+    /// A server that has fallen silent is missed after so many seconds.
+    pub silent_s: Range,
+}
+
+impl Default for Discovery {
+    fn default() -> Self {
+        Self { notice_s: Range::of(0.58, 2.9), silent_s: Range::of(5.3, 12.0) }
+    }
+}
+
+/// The figures of the rules.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// Nothing new goes to a server so long after the node was told that it drains.
+    pub drain_grace_ms: f64,
+    /// A cold server sent more than this multiple of its capacity falls over ...
+    pub fall_multiple: f64,
+    /// ... counted over any span of this length.
+    pub fall_ms: f64,
+    /// The longest pause that a refusal may advise.
+    pub retry_after_ms: f64,
+    /// Attempts for one request at most.
+    pub attempts: u32,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            drain_grace_ms: 500.0,
+            fall_multiple: 3.0,
+            fall_ms: 1500.0,
+            retry_after_ms: 1500.0,
+            attempts: 3,
+        }
+    }
+}
+
+/// A machine kind.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Its name.
+    pub name: String,
+    /// Its part of the servers.
+    pub share: f64,
+    /// Cores of a machine.
+    pub cores: u32,
+    /// Speed of a core against the standard one.
+    pub speed: Range,
+    /// Requests in work for each core.
+    pub slots: Range,
+    /// Requests that wait for each core.
+    pub room: Range,
+    /// Loss of efficiency when crowded.
+    pub thrash: Range,
+    /// Requests held for each core from which on efficiency is lost.
+    pub thrash_at: Range,
+    /// Share of its capacity that it starts with.
+    pub cold_from: Range,
+    /// Seconds until it is warm.
+    pub cold_s: Range,
+    /// Share of its requests that fail by themselves.
+    #[serde(default)]
+    pub error_rate: f64,
+}
+
+impl Kind {
+    fn usual(name: &str, share: f64, cores: u32, speed: Range) -> Self {
+        Self {
+            name: name.to_owned(),
+            share,
+            cores,
+            speed,
+            slots: Range::of(7.0, 16.0),
+            room: Range::of(12.0, 23.0),
+            thrash: Range::of(0.15, 0.4),
+            thrash_at: Range::of(11.0, 26.0),
+            cold_from: Range::of(0.15, 0.35),
+            cold_s: Range::of(11.0, 22.0),
+            error_rate: 0.0005,
+        }
+    }
+}
+
+/// Whether a request may take effect twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    /// Safe to repeat.
+    Repeatable,
+    /// Repeats are dropped inside a group of servers for a while.
+    Keyed,
+    /// Must not run twice.
+    Once,
+}
+
+/// A request class.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Its part of the requests.
+    pub share: f64,
+    /// Work on a standard core, in milliseconds.
+    pub work_ms: Range,
+    /// Waits on others, in milliseconds.
+    pub wait_ms: Range,
+    /// Spread of the work, as a coefficient of variation.
+    pub cv: Range,
+    /// Wanted time, in milliseconds.
+    pub aim_ms: f64,
+    /// When a client gives up, in milliseconds.
+    pub deadline_ms: f64,
+    /// Worth of one.
+    pub worth: f64,
+    /// Share of the worth that is left after the aim.
+    pub late_worth: f64,
+    /// Whether it may be repeated.
+    pub effect: Effect,
+    /// How long repeats of a keyed one are dropped, in milliseconds.
+    #[serde(default)]
+    pub window_ms: f64,
+}
+
+/// A customer.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its share of what the fleet can do.
+    pub share: f64,
+    /// What it asks for against its share.
+    pub usage: Range,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Trouble {
+    /// A node's process is killed, and started again after `for_s`.
+    KillNode,
+    /// A node's process is paused for `for_s`.
+    PauseNode,
+    /// A node is told to end, and started again after `for_s`.
+    RestartNode,
+    /// A node starts only now.
+    LateNode,
+    /// An app server's process dies, and comes back cold after `for_s`.
+    KillServer,
+    /// App servers are `factor` times slower.
+    SlowServer,
+    /// App servers take requests and answer none.
+    HangServer,
+    /// App servers fail `factor` of their requests at once.
+    FailServer,
+    /// Another program takes `factor` of the machine.
+    BusyServer,
+    /// An app server drains, goes, and a new one comes cold in its place.
+    ReplaceServer,
+    /// A zone's app servers are silent, and come back; cold if `cold` says so.
+    LoseZone,
+    /// Nothing passes a link: the bytes wait, as when a cable is out.
+    CutLink,
+    /// A link takes `factor` milliseconds more.
+    DelayLink,
+    /// A link carries `factor` kilobytes a second.
+    ThrottleLink,
+    /// Connections over a link are reset, now and when they come, with the chance `factor` each second.
+    ResetLink,
+    /// What the list service tells is `factor` seconds late.
+    LateDiscovery,
+    /// The list service takes calls and answers none.
+    SilentDiscovery,
+    /// The list service turns `factor` of its calls away.
+    BusyDiscovery,
+    /// The list service answers what is no list.
+    RubbishDiscovery,
+    /// The list service moves to another address, and the nodes are told by SIGHUP.
+    MoveDiscovery,
+    /// `factor` times the requests.
+    Burst,
+    /// One tenant asks for `factor` times as much.
+    FloodTenant,
+    /// `factor` connections a second that ask nothing proper.
+    RudeClients,
+}
+
+/// One fault. Which of the fields it takes depends on what it is.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// What goes wrong.
+    pub what: Trouble,
+    /// When it begins, in seconds from the start of the load.
+    pub at_s: Range,
+    /// How long it lasts; to the end of the run if absent.
+    #[serde(default)]
+    pub for_s: Option<Range>,
+    /// One node or server by its name, or a zone by its name.
+    #[serde(default)]
+    pub who: Option<String>,
+    /// How many nodes or servers, drawn by the seed.
+    #[serde(default)]
+    pub count: Option<u32>,
+    /// Which share of the nodes or servers, drawn by the seed.
+    #[serde(default)]
+    pub share: Option<Range>,
+    /// Drawn from this zone only.
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// How strong it is; its unit depends on what it is.
+    #[serde(default)]
+    pub factor: Option<Range>,
+    /// A link's one end: a node, a server, a zone, `discovery`, or `*` for all.
+    #[serde(default)]
+    pub from: Option<String>,
+    /// A link's other end.
+    #[serde(default)]
+    pub to: Option<String>,
+    /// Only what goes from `from` to `to` is concerned.
+    #[serde(default)]
+    pub one_way: bool,
+    /// Whether a lost zone comes back cold.
+    #[serde(default)]
+    pub cold: bool,
+    /// Seconds between one target and the next.
+    #[serde(default)]
+    pub step_s: Option<Range>,
+}
+
+impl Trouble {
+    /// Whether it picks nodes, servers, or neither.
+    pub fn picks(self) -> Picks {
+        match self {
+            Self::KillNode | Self::PauseNode | Self::RestartNode | Self::LateNode => Picks::Nodes,
+            Self::KillServer
+            | Self::SlowServer
+            | Self::HangServer
+            | Self::FailServer
+            | Self::BusyServer
+            | Self::ReplaceServer => Picks::Servers,
+            Self::LoseZone => Picks::Zone,
+            Self::CutLink | Self::DelayLink | Self::ThrottleLink | Self::ResetLink => Picks::Link,
+            Self::FloodTenant => Picks::Tenant,
+            _ => Picks::Nothing,
+        }
+    }
+
+    /// What `factor` stands for, with its least and its most; none where it takes none.
+    pub fn factor(self) -> Option<(&'static str, f64, f64)> {
+        Some(match self {
+            Self::SlowServer => ("times slower, 1 to 100", 1.0, 100.0),
+            Self::FailServer => ("the share that fails, 0 to 1", 0.0, 1.0),
+            Self::BusyServer => ("the share that is taken, 0 to 0.99", 0.0, 0.99),
+            Self::DelayLink => ("milliseconds, 0 to 10000", 0.0, 10_000.0),
+            Self::ThrottleLink => ("kilobytes a second, 1 to 1000000", 1.0, 1_000_000.0),
+            Self::ResetLink => ("the chance in a second, 0 to 1", 0.0, 1.0),
+            Self::LateDiscovery => ("seconds, 0 to 60", 0.0, 60.0),
+            Self::BusyDiscovery => ("the share turned away, 0 to 1", 0.0, 1.0),
+            Self::Burst | Self::FloodTenant => ("times as much, 0 to 100", 0.0, 100.0),
+            Self::RudeClients => ("connections a second, 0 to 1000", 0.0, 1000.0),
+            _ => return None,
+        })
+    }
+}
+
+/// Whom a trouble concerns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Picks {
+    /// Nodes, by `who`, `count` or `share`.
+    Nodes,
+    /// App servers, by `who`, `count` or `share`.
+    Servers,
+    /// The zone that `who` names.
+    Zone,
+    /// What lies between `from` and `to`.
+    Link,
+    /// The tenant that `who` names.
+    Tenant,
+    /// Nobody in particular.
+    Nothing,
+}
+
+impl Plan {
+    /// Fills in what an empty plan leaves to the usual: kinds and classes.
+    pub fn with_usual(mut self) -> Self {
+        if self.kinds.is_empty() {
+            self.kinds = vec![
+                Kind::usual("fast-single", 0.25, 1, Range::of(1.1, 1.5)),
+                Kind::usual("dual-core", 0.44, 2, Range::of(0.85, 1.1)),
+                Kind::usual("slow-single", 0.31, 1, Range::of(0.59, 0.8)),
+            ];
+        }
+        if self.classes.is_empty() {
+            let class = |name: &str, share, aim_ms, worth, late_worth, effect| Class {
+                name: String::from(name),
+                share,
+                work_ms: Range::of(53.0, 97.0),
+                wait_ms: Range::of(37.0, 68.0),
+                cv: Range::of(0.32, 0.79),
+                aim_ms,
+                deadline_ms: 1500.0,
+                worth,
+                late_worth,
+                effect,
+                window_ms: 1500.0,
+            };
+            self.classes = vec![
+                class("segment-save", 0.84, 750.0, 8.0, 0.2, Effect::Keyed),
+                class("minutes-sign", 0.16, 500.0, 10.0, 0.25, Effect::Once),
+            ];
+        }
+        self
+    }
+
+    /// What makes no sense in it, with the key at fault; the first of all.
+    pub fn check(&self) -> Result<(), Problem> {
+        let problem = |key: String, text: String| Err(Problem { key, text });
+        let fleet = &self.fleet;
+        if fleet.zones.is_empty() || fleet.zones.len() > MOST_ZONES {
+            return problem("fleet.zones".into(), format!("1 to {MOST_ZONES} names are wanted"));
+        }
+        for (at, zone) in fleet.zones.iter().enumerate() {
+            if zone.is_empty() || fleet.zones[..at].contains(zone) {
+                return problem("fleet.zones".into(), format!("{zone:?} is empty or stands twice"));
+            }
+        }
+        for (key, value, most) in
+            [("fleet.nodes", fleet.nodes, MOST_NODES), ("fleet.servers", fleet.servers, MOST_SERVERS)]
+        {
+            if value == 0 || value > most {
+                return problem(key.into(), format!("1 to {most} is wanted, not {value}"));
+            }
+        }
+        if (fleet.servers as usize) < fleet.zones.len() {
+            return problem("fleet.servers".into(), "each zone needs one at least".into());
+        }
+        if !fleet.sizes.is_empty() && fleet.sizes.len() != fleet.zones.len() {
+            return problem(
+                "fleet.sizes".into(),
+                format!("{} figures are wanted, one a zone", fleet.zones.len()),
+            );
+        }
+        if !fleet.sizes.iter().all(|size| *size > 0.0 && size.is_finite()) {
+            return problem("fleet.sizes".into(), "figures above 0 are wanted".into());
+        }
+        let between = |key: &str, range: Range, least: f64, most: f64| {
+            if range.low() < least || range.high() > most {
+                return problem(key.to_owned(), format!("{least} to {most} is wanted"));
+            }
+            Ok(())
+        };
+        between("fleet.group", fleet.group, 1.0, 10_000.0)?;
+        let load = &self.load;
+        if let Some(rps) = load.rps {
+            between("load.rps", Range::only(rps), 0.1, MOST_RPS)?;
+        }
+        between("load.utilisation", Range::only(load.utilisation), 0.01, 10.0)?;
+        between("load.swing", load.swing, 0.0, 0.9)?;
+        between("load.wave_s", load.wave_s, 0.5, MOST_SECONDS)?;
+        between("load.zone_skew", load.zone_skew, 0.0, 0.9)?;
+        between("load.retries", Range::only(load.retries.into()), 0.0, 10.0)?;
+        between("load.backoff_ms", load.backoff_ms, 1.0, 60_000.0)?;
+        between("load.heeds", load.heeds, 0.0, 1.0)?;
+        between("load.try_share", load.try_share, 0.05, 1.0)?;
+        between("network.same_ms", self.network.same_ms, 0.01, 1000.0)?;
+        between("network.cross_ms", self.network.cross_ms, 0.01, 1000.0)?;
+        between("network.jitter", self.network.jitter, 0.0, 0.9)?;
+        between("discovery.notice_s", self.discovery.notice_s, 0.0, 60.0)?;
+        between("discovery.silent_s", self.discovery.silent_s, 0.0, 600.0)?;
+        between("rules.drain_grace_ms", Range::only(self.rules.drain_grace_ms), 1.0, 60_000.0)?;
+        between("rules.fall_multiple", Range::only(self.rules.fall_multiple), 1.0, 100.0)?;
+        between("rules.fall_ms", Range::only(self.rules.fall_ms), 10.0, 60_000.0)?;
+        between("rules.retry_after_ms", Range::only(self.rules.retry_after_ms), 0.0, 60_000.0)?;
+        between("rules.attempts", Range::only(self.rules.attempts.into()), 1.0, 10.0)?;
+        for (n, kind) in self.kinds.iter().enumerate() {
+            let key = |field: &str| format!("kind[{n}].{field}");
+            between(&key("share"), Range::only(kind.share), 1e-6, 1e6)?;
+            between(&key("cores"), Range::only(kind.cores.into()), 1.0, 1024.0)?;
+            between(&key("speed"), kind.speed, 0.01, 100.0)?;
+            between(&key("slots"), kind.slots, 1.0, 10_000.0)?;
+            between(&key("room"), kind.room, 0.0, 100_000.0)?;
+            between(&key("thrash"), kind.thrash, 0.0, 10.0)?;
+            between(&key("thrash_at"), kind.thrash_at, 1.0, 10_000.0)?;
+            between(&key("cold_from"), kind.cold_from, 0.01, 1.0)?;
+            between(&key("cold_s"), kind.cold_s, 0.0, 600.0)?;
+            between(&key("error_rate"), Range::only(kind.error_rate), 0.0, 1.0)?;
+        }
+        for (n, class) in self.classes.iter().enumerate() {
+            let key = |field: &str| format!("class[{n}].{field}");
+            if class.name.is_empty() || self.classes[..n].iter().any(|other| other.name == class.name) {
+                return problem(key("name"), "is empty or stands twice".into());
+            }
+            between(&key("share"), Range::only(class.share), 1e-6, 1e6)?;
+            between(&key("work_ms"), class.work_ms, 0.01, 60_000.0)?;
+            between(&key("wait_ms"), class.wait_ms, 0.0, 60_000.0)?;
+            between(&key("cv"), class.cv, 0.0, 5.0)?;
+            between(&key("aim_ms"), Range::only(class.aim_ms), 1.0, 60_000.0)?;
+            between(&key("deadline_ms"), Range::only(class.deadline_ms), class.aim_ms, 60_000.0)?;
+            between(&key("worth"), Range::only(class.worth), 0.0, 1e6)?;
+            between(&key("late_worth"), Range::only(class.late_worth), 0.0, 1.0)?;
+            if class.effect == Effect::Keyed {
+                between(&key("window_ms"), Range::only(class.window_ms), 1.0, 600_000.0)?;
+            }
+        }
+        for (n, tenant) in self.tenants.iter().enumerate() {
+            let key = |field: &str| format!("tenant[{n}].{field}");
+            if tenant.name.is_empty() || self.tenants[..n].iter().any(|other| other.name == tenant.name) {
+                return problem(key("name"), "is empty or stands twice".into());
+            }
+            between(&key("share"), Range::only(tenant.share), 0.0, 1.0)?;
+            between(&key("usage"), tenant.usage, 0.0, 100.0)?;
+        }
+        if self.faults.len() > MOST_FAULTS {
+            return problem("fault".into(), format!("{MOST_FAULTS} at most, not {}", self.faults.len()));
+        }
+        self.faults.iter().enumerate().try_for_each(|(n, fault)| self.check_fault(n, fault))
+    }
+
+    fn check_fault(&self, n: usize, fault: &Fault) -> Result<(), Problem> {
+        let problem = |field: &str, text: String| Err(Problem { key: format!("fault[{n}].{field}"), text });
+        let picks = fault.what.picks();
+        if fault.at_s.low() < 0.0 || fault.at_s.high() > MOST_SECONDS {
+            return problem("at_s", format!("0 to {MOST_SECONDS} is wanted"));
+        }
+        if fault.for_s.is_some_and(|span| span.low() < 0.0) || fault.step_s.is_some_and(|s| s.low() < 0.0) {
+            return problem("for_s", "0 or more is wanted".into());
+        }
+        let known = |zone: &String| self.fleet.zones.contains(zone);
+        let zones = self.fleet.zones.join(", ");
+        if let Some(zone) = fault.zone.as_ref().filter(|zone| !known(zone)) {
+            return problem("zone", format!("{zone:?} is none of {zones}"));
+        }
+        match (fault.what.factor(), fault.factor) {
+            (Some((unit, ..)), None) => return problem("factor", format!("is wanted: {unit}")),
+            (None, Some(_)) => return problem("factor", "does not go with this trouble".into()),
+            (Some((unit, least, most)), Some(range)) if range.low() < least || range.high() > most => {
+                return problem("factor", format!("is wanted as {unit}"));
+            }
+            _ => {}
+        }
+        let named = [fault.who.is_some(), fault.count.is_some(), fault.share.is_some()];
+        let picked = named.iter().filter(|given| **given).count();
+        match picks {
+            Picks::Nodes | Picks::Servers => {
+                if picked != 1 {
+                    return problem("who", "one of who, count or share is wanted".into());
+                }
+                if fault.share.is_some_and(|share| share.low() < 0.0 || share.high() > 1.0) {
+                    return problem("share", "0 to 1 is wanted".into());
+                }
+                let (prefix, most) = match picks {
+                    Picks::Nodes => ("n", self.fleet.nodes),
+                    _ => ("s", self.fleet.servers),
+                };
+                if let Some(who) = &fault.who {
+                    let number = who.strip_prefix(prefix).and_then(|number| number.parse::<u32>().ok());
+                    if number.is_none_or(|number| number >= most) {
+                        return problem(
+                            "who",
+                            format!("{who:?} is none of {prefix}0 to {prefix}{}", most - 1),
+                        );
+                    }
+                }
+            }
+            Picks::Zone => match &fault.who {
+                Some(zone) if known(zone) => {}
+                Some(zone) => return problem("who", format!("{zone:?} is none of {zones}")),
+                None => return problem("who", format!("a zone is wanted, one of {zones}")),
+            },
+            Picks::Tenant => {
+                let names: Vec<&str> = self.tenants.iter().map(|tenant| tenant.name.as_str()).collect();
+                if !fault.who.as_deref().is_some_and(|who| names.contains(&who)) {
+                    return problem("who", format!("a tenant is wanted, one of: {}", names.join(", ")));
+                }
+            }
+            Picks::Link => {
+                for (field, end) in [("from", &fault.from), ("to", &fault.to)] {
+                    let Some(end) = end else {
+                        return problem(field, "is wanted: a node, a server, a zone, discovery or *".into());
+                    };
+                    if !self.is_party(end) {
+                        return problem(
+                            field,
+                            format!("{end:?} is no node, server or zone, nor discovery or *"),
+                        );
+                    }
+                }
+            }
+            Picks::Nothing if picked > 0 => return problem("who", "does not go with this trouble".into()),
+            Picks::Nothing => {}
+        }
+        if picks != Picks::Link && (fault.from.is_some() || fault.to.is_some() || fault.one_way) {
+            return problem("from", "goes with links only".into());
+        }
+        if fault.what != Trouble::LoseZone && fault.cold {
+            return problem("cold", "goes with lose-zone only".into());
+        }
+        Ok(())
+    }
+
+    fn is_party(&self, name: &str) -> bool {
+        let number = |prefix: &str| name.strip_prefix(prefix).and_then(|number| number.parse::<u32>().ok());
+        matches!(name, "*" | "discovery")
+            || self.fleet.zones.iter().any(|zone| zone == name)
+            || number("n").is_some_and(|number| number < self.fleet.nodes)
+            || number("s").is_some_and(|number| number < self.fleet.servers)
+    }
+}
--- /dev/null
+++ b/model/src/run.rs
@@ -0,0 +1,179 @@
+//! A whole fleet in virtual time: all zones side by side, the same to the bit for the same plan and seed, on however
+//! many threads.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Barrier, Mutex, PoisonError};
+use std::thread;
+
+use brookfield::Nanos;
+
+use crate::ledger::Ledger;
+use crate::measure::Tally;
+use crate::module::{Module, Own};
+use crate::plan::Plan;
+use crate::shard::{ANSWER_SLACK, Common, Mail, Shard};
+use crate::timeline::Timeline;
+use crate::world::{SECOND, World};
+
+/// Virtual time starts here: long enough after 0 that servers may have started before.
+const START: Nanos = 1_000 * SECOND;
+
+/// How a plan is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// For how long requests come.
+    pub span: Nanos,
+    /// Nodes handle what has come in once in so long; 0 for at once.
+    pub tick: Nanos,
+    /// Threads to play on, at most one for each zone.
+    pub threads: usize,
+}
+
+/// What a run came to.
+pub struct Played {
+    /// The world that was played.
+    pub world: World,
+    /// Counts, worth and delays.
+    pub tally: Tally,
+    /// What was checked.
+    pub ledger: Ledger,
+    /// Events that were played.
+    pub events: u64,
+    /// Servers that were up at the end, and those of them that crowding had turned slow.
+    pub servers_up: (usize, usize),
+}
+
+impl Played {
+    /// The figures by name, the unit in the name.
+    pub fn measures(&self) -> BTreeMap<String, f64> {
+        self.tally.measures(&self.world, 0)
+    }
+
+    /// A number that tells whether two runs were the same.
+    pub fn fingerprint(&self) -> u64 {
+        let mut print = 0xcbf2_9ce4_8422_2325u64;
+        let mut take = |value: u64| {
+            print = (print ^ value).wrapping_mul(0x0100_0000_01b3);
+        };
+        take(self.events);
+        for second in &self.tally.seconds {
+            for count in [second.asked, second.in_time, second.late, second.refused, second.failed] {
+                take(count);
+            }
+        }
+        for step in self.tally.ended.iter_recorded() {
+            take(step.value_iterated_to());
+            take(step.count_since_last_iteration());
+        }
+        [self.tally.tries, self.tally.attempts, self.tally.crossings].into_iter().for_each(take);
+        print
+    }
+}
+
+/// Plays a checked plan on this build's own decisions.
+pub fn play(plan: &Plan, seed: u64, options: Options) -> Result<Played, String> {
+    play_with(plan, seed, options, |_| Ok(Box::<Own>::default()))
+}
+
+/// Plays a checked plan, with the decisions that `module` makes for each zone.
+pub fn play_with(
+    plan: &Plan,
+    seed: u64,
+    options: Options,
+    mut module: impl FnMut(u32) -> Result<Box<dyn Module>, String>,
+) -> Result<Played, String> {
+    let world = World::draw(plan, seed);
+    let timeline = Timeline::of(&world, START);
+    let end = START + options.span;
+    let longest = world.classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let stop = end + longest + ANSWER_SLACK + SECOND;
+    // No message between zones is faster than this.
+    let zones = world.zones.len() as u32;
+    let lookahead = if zones > 1 { world.cross.max(1) } else { stop };
+    let common = Arc::new(Common { world, timeline, tick: options.tick, end });
+    let mut shards = Vec::new();
+    for zone in 0..zones {
+        shards.push(Shard::new(common.clone(), zone, module(zone)?));
+    }
+    let shards = drive(shards, lookahead, stop, options.threads.clamp(1, zones as usize));
+    let mut whole: Option<(Tally, Ledger)> = None;
+    let (mut events, mut servers_up) = (0, (0, 0));
+    for shard in shards {
+        if let Some(problem) = shard.failed {
+            return Err(problem);
+        }
+        events += shard.handled;
+        let (up, slow) = shard.servers_up();
+        servers_up = (servers_up.0 + up, servers_up.1 + slow);
+        match whole.as_mut() {
+            None => whole = Some((shard.tally, shard.ledger)),
+            Some((tally, ledger)) => {
+                tally.merge(&shard.tally);
+                ledger.merge(&shard.ledger);
+            }
+        }
+    }
+    let (tally, ledger) = whole.ok_or("no zone")?;
+    Ok(Played { world: common.world.clone(), tally, ledger, events, servers_up })
+}
+
+/// Plays all zones in spans no longer than a message between them takes.
+fn drive(mut shards: Vec<Shard>, lookahead: Nanos, stop: Nanos, threads: usize) -> Vec<Shard> {
+    if threads <= 1 {
+        while let Some(from) = shards.iter().filter_map(Shard::next_at).min().filter(|at| *at < stop) {
+            let until = (from + lookahead).min(stop);
+            let mut mail: Vec<Vec<Mail>> = Vec::new();
+            for shard in &mut shards {
+                shard.play(until);
+                mail.push(std::mem::take(&mut shard.mail));
+            }
+            for mail in mail.into_iter().flatten() {
+                shards[mail.to as usize].post(mail.at, mail.what);
+            }
+            if shards.iter().any(|shard| shard.failed.is_some()) {
+                break;
+            }
+        }
+        return shards;
+    }
+    let zones = shards.len();
+    let barrier = Barrier::new(threads);
+    let boxes: Vec<Mutex<Vec<Mail>>> = (0..zones).map(|_| Mutex::default()).collect();
+    let next: Vec<Mutex<Option<Nanos>>> = shards.iter().map(|shard| Mutex::new(shard.next_at())).collect();
+    let mut hands: Vec<Vec<(usize, Shard)>> = (0..threads).map(|_| Vec::new()).collect();
+    for (zone, shard) in shards.into_iter().enumerate() {
+        hands[zone % threads].push((zone, shard));
+    }
+    let work = |mut own: Vec<(usize, Shard)>| {
+        loop {
+            let from = next.iter().filter_map(|at| *at.lock().unwrap_or_else(PoisonError::into_inner)).min();
+            // All hands have read the same before any of them plays on.
+            barrier.wait();
+            let Some(from) = from.filter(|at| *at < stop) else { return own };
+            let until = (from + lookahead).min(stop);
+            for (zone, shard) in &mut own {
+                shard.play(until);
+                *boxes[*zone].lock().unwrap_or_else(PoisonError::into_inner) =
+                    std::mem::take(&mut shard.mail);
+            }
+            barrier.wait();
+            for (zone, shard) in &mut own {
+                for sender in &boxes {
+                    let mut mail = sender.lock().unwrap_or_else(PoisonError::into_inner);
+                    for mail in mail.extract_if(.., |mail| mail.to as usize == *zone) {
+                        shard.post(mail.at, mail.what);
+                    }
+                }
+                let at = if shard.failed.is_some() { Some(stop) } else { shard.next_at() };
+                *next[*zone].lock().unwrap_or_else(PoisonError::into_inner) = at;
+            }
+            barrier.wait();
+        }
+    };
+    let mut done: Vec<(usize, Shard)> = thread::scope(|scope| {
+        let running: Vec<_> = hands.into_iter().map(|own| scope.spawn(|| work(own))).collect();
+        running.into_iter().filter_map(|hand| hand.join().ok()).flatten().collect()
+    });
+    done.sort_by_key(|(zone, _)| *zone);
+    done.into_iter().map(|(_, shard)| shard).collect()
+}
--- /dev/null
+++ b/model/src/server.rs
@@ -0,0 +1,614 @@
+//! One app server: cores, speed, slots, a waiting room, a cold start, crowding, and what a fault does to them.
+//!
+//! A request computes first and then waits on others, holding a slot for both. All that compute share the cores
+//! evenly. Between two events every request that computes gets the same service, so one running total of it
+//! (`served`) is enough: a request is done computing when the total has grown by its work. Not modelled here: what
+//! a request's effect is, and who may send it; that is for the driver and the [`ledger`](crate::ledger).
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+
+use brookfield::Nanos;
+
+use crate::ordered::Finite;
+
+const SECOND: f64 = 1e9;
+/// Share of a cold budget that may be overdrawn, and requests beyond it: sends come by chance.
+const TIP_SLACK: f64 = 0.1;
+const TIP_SLACK_REQUESTS: f64 = 1.0;
+/// Weight of the latest refresh in the reported utilisation.
+const UTIL_WEIGHT: f64 = 0.5;
+
+/// What happens to work whose attempt is cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelRule {
+    /// It goes on.
+    Nothing,
+    /// What has not begun is dropped; running work goes on.
+    Waiting,
+}
+
+/// How a crowded server turns slow, and what ends that.
+#[derive(Clone, Copy, Debug)]
+pub struct Choke {
+    /// Requests that wait for a core, for each core, from which on it is crowded.
+    pub at: f64,
+    /// How long it has to be crowded, in nanoseconds.
+    pub over: Nanos,
+    /// It turns this many times slower.
+    pub slower: f64,
+    /// It recovers once its busy share has been below this ...
+    pub below: f64,
+    /// ... for so long, in nanoseconds, ...
+    pub rest: Nanos,
+    /// ... or after this time at the latest.
+    pub most: Nanos,
+}
+
+/// How load is reported.
+#[derive(Clone, Copy, Debug)]
+pub struct Reporting {
+    /// Between two refreshes, in nanoseconds.
+    pub period: Nanos,
+    /// A figure is told this long after its refresh, in nanoseconds.
+    pub delay: Nanos,
+    /// Relative spread of the noise on it.
+    pub noise: f64,
+}
+
+/// What a server is.
+#[derive(Clone, Copy, Debug)]
+pub struct Spec {
+    /// Its zone, by position.
+    pub zone: u32,
+    /// The group whose members share the keys that they have seen.
+    pub cell: u64,
+    /// Its machine kind, by position.
+    pub kind: u32,
+    /// How many requests compute at full speed.
+    pub cores: f64,
+    /// Of a core against the standard one.
+    pub speed: f64,
+    /// Requests in work at a time.
+    pub slots: usize,
+    /// Requests that wait for a slot; more are turned away.
+    pub room: usize,
+    /// Loss of efficiency for each further `thrash_at` requests held for each core.
+    pub thrash: f64,
+    /// Requests held for each core up to which none is lost.
+    pub thrash_at: f64,
+    /// Share of its capacity that it starts with.
+    pub cold_from: f64,
+    /// It is warm so long after its start, in nanoseconds.
+    pub warm_after: Nanos,
+    /// Share of its requests that fail by themselves.
+    pub error_rate: f64,
+    /// What a cancel does.
+    pub cancel: CancelRule,
+    /// Whether what its client has given up is dropped before it begins.
+    pub drops_expired: bool,
+    /// Most connections.
+    pub connections: usize,
+    /// Work of a new one on a standard core, in nanoseconds.
+    pub handshake: f64,
+    /// Share of the capacity that a full table of connections takes.
+    pub full_tax: f64,
+    /// Whether and how crowding turns it slow.
+    pub choke: Option<Choke>,
+    /// A cold one sent more than this multiple of its capacity ...
+    pub tip_multiple: f64,
+    /// ... over this span, in nanoseconds, falls over.
+    pub tip_span: Nanos,
+    /// Load reports, if there are any.
+    pub reporting: Option<Reporting>,
+}
+
+impl Default for Spec {
+    fn default() -> Self {
+        Self {
+            zone: 0,
+            cell: 0,
+            kind: 0,
+            cores: 1.0,
+            speed: 1.0,
+            slots: 8,
+            room: 16,
+            thrash: 0.3,
+            thrash_at: 16.0,
+            cold_from: 0.2,
+            warm_after: 20_000_000_000,
+            error_rate: 0.0,
+            cancel: CancelRule::Waiting,
+            drops_expired: true,
+            connections: 800,
+            handshake: 1_000_000.0,
+            full_tax: 0.1,
+            choke: None,
+            tip_multiple: 3.0,
+            tip_span: 1_500_000_000,
+            reporting: None,
+        }
+    }
+}
+
+/// What a fault does to a server while it lasts. Neutral by default.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ailment {
+    /// Runs this many times slower.
+    pub slower: f64,
+    /// Share of the machine that another program takes.
+    pub taken: f64,
+    /// Takes requests and answers none.
+    pub hangs: bool,
+    /// Share of the requests that fail at once.
+    pub fails: f64,
+}
+
+impl Default for Ailment {
+    fn default() -> Self {
+        Self { slower: 1.0, taken: 0.0, hangs: false, fails: 0.0 }
+    }
+}
+
+/// A request as a server sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// The driver's number for it, unique among those that this server holds.
+    pub id: u64,
+    /// Whom its answer is for, as the driver knows it.
+    pub from: u32,
+    /// To compute, on a standard core, in nanoseconds.
+    pub work: f64,
+    /// To wait on others after that, in nanoseconds.
+    pub wait: Nanos,
+    /// When its client gives it up.
+    pub not_after: Nanos,
+    /// A draw from 0 to 1 that decides whether it fails.
+    pub luck: f64,
+}
+
+/// How a job ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It ran, and is answered.
+    Served,
+    /// It failed; it may have run.
+    Error,
+    /// It was dropped before it began: it never ran.
+    Dropped,
+}
+
+/// Whether a request was taken in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It runs, or waits for a slot.
+    Taken,
+    /// Turned away: it never ran.
+    Full,
+    /// It failed at once; it may have run.
+    Failed,
+    /// Its process is down: nobody answers.
+    Down,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Queued,
+    Computes,
+    Waits,
+}
+
+/// A server's state. Every call is given the present; a time before the last one counts as that.
+pub struct Server {
+    spec: Spec,
+    ailment: Ailment,
+    now: Nanos,
+    up: bool,
+    /// Since when it has been up, unless it was warm from the beginning.
+    booted: Option<Nanos>,
+    /// Service that each request that computes has got so far, in nanoseconds of a standard core.
+    served: f64,
+    jobs: HashMap<u64, (Job, Stage)>,
+    computing: BinaryHeap<Reverse<(Finite, u64)>>,
+    computes: usize,
+    waiting: BinaryHeap<Reverse<(Nanos, u64)>>,
+    queue: VecDeque<u64>,
+    held_slots: usize,
+    connections: usize,
+    /// Work sent while cold, by time; the sum within the span decides whether it falls over.
+    cold_sends: VecDeque<(Nanos, f64)>,
+    fallen: bool,
+    crowded_since: Option<Nanos>,
+    choked_since: Option<Nanos>,
+    calm_since: Option<Nanos>,
+    /// Core-nanoseconds in use since the last refresh of the report.
+    busy: f64,
+    refreshed: Nanos,
+    util: f64,
+    told_util: Option<(f64, Nanos, f64)>,
+    epoch: u64,
+}
+
+impl Server {
+    /// A server that is up and warm.
+    pub fn new(spec: Spec, now: Nanos) -> Self {
+        Self {
+            spec,
+            ailment: Ailment::default(),
+            now,
+            up: true,
+            booted: None,
+            served: 0.0,
+            jobs: HashMap::new(),
+            computing: BinaryHeap::new(),
+            computes: 0,
+            waiting: BinaryHeap::new(),
+            queue: VecDeque::new(),
+            held_slots: 0,
+            connections: 0,
+            cold_sends: VecDeque::new(),
+            fallen: false,
+            crowded_since: None,
+            choked_since: None,
+            calm_since: None,
+            busy: 0.0,
+            refreshed: now,
+            util: 0.0,
+            told_util: None,
+            epoch: 0,
+        }
+    }
+
+    /// What it is.
+    pub fn spec(&self) -> &Spec {
+        &self.spec
+    }
+
+    /// Whether its process runs.
+    pub fn is_up(&self) -> bool {
+        self.up
+    }
+
+    /// Whether it fell over while cold: it stays down until it is started again.
+    pub fn has_fallen(&self) -> bool {
+        self.fallen
+    }
+
+    /// Whether crowding has turned it slow.
+    pub fn is_choked(&self) -> bool {
+        self.choked_since.is_some()
+    }
+
+    /// Requests that it holds.
+    pub fn holds(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Changes at each stop and start: what was out on an earlier life is dead.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Its process ends, and with it all that it held: these, in the order of their numbers.
+    pub fn stop(&mut self, now: Nanos) -> Vec<Job> {
+        self.move_to(now);
+        self.up = false;
+        self.epoch += 1;
+        let mut held: Vec<Job> = self.jobs.drain().map(|(_, (job, _))| job).collect();
+        held.sort_unstable_by_key(|job| job.id);
+        self.computing.clear();
+        self.waiting.clear();
+        self.queue.clear();
+        (self.computes, self.held_slots, self.connections) = (0, 0, 0);
+        held
+    }
+
+    /// A process starts, cold or not. What the last one held is lost.
+    pub fn start(&mut self, now: Nanos, cold: bool) -> Vec<Job> {
+        let held = self.stop(now);
+        self.up = true;
+        self.fallen = false;
+        self.booted = cold.then_some(now);
+        self.cold_sends.clear();
+        (self.crowded_since, self.choked_since, self.calm_since) = (None, None, None);
+        (self.busy, self.refreshed, self.util, self.told_util) = (0.0, now, 0.0, None);
+        held
+    }
+
+    /// Begins or ends a fault.
+    pub fn ail(&mut self, now: Nanos, ailment: Ailment) {
+        self.move_to(now);
+        self.ailment = ailment;
+    }
+
+    /// The fault that it has.
+    pub fn ailment(&self) -> Ailment {
+        self.ailment
+    }
+
+    /// Share of its capacity that it has by now.
+    pub fn ramp(&self, now: Nanos) -> f64 {
+        let Some(booted) = self.booted else { return 1.0 };
+        let part = now.saturating_sub(booted) as f64 / self.spec.warm_after.max(1) as f64;
+        (self.spec.cold_from + (1.0 - self.spec.cold_from) * part).min(1.0)
+    }
+
+    /// A connection comes in; false where its table is full or its process down.
+    pub fn connect(&mut self, now: Nanos) -> bool {
+        self.move_to(now);
+        let fits = self.up && self.connections < self.spec.connections;
+        self.connections += usize::from(fits);
+        fits
+    }
+
+    /// A connection has ended.
+    pub fn disconnect(&mut self, now: Nanos) {
+        self.move_to(now);
+        self.connections = self.connections.saturating_sub(1);
+    }
+
+    /// A request comes in, on a new connection or one that was there.
+    pub fn offer(&mut self, now: Nanos, mut job: Job, fresh: bool) -> Offer {
+        self.move_to(now);
+        if !self.up {
+            return Offer::Down;
+        }
+        self.count_cold(job.work);
+        if self.fallen {
+            return Offer::Down;
+        }
+        if job.luck < self.ailment.fails {
+            return Offer::Failed;
+        }
+        if fresh {
+            job.work += self.spec.handshake;
+        }
+        if self.held_slots >= self.spec.slots && self.queue.len() >= self.spec.room {
+            return Offer::Full;
+        }
+        if self.held_slots < self.spec.slots {
+            self.begin(job);
+        } else {
+            self.queue.push_back(job.id);
+            self.jobs.insert(job.id, (job, Stage::Queued));
+        }
+        self.watch_crowd();
+        Offer::Taken
+    }
+
+    /// The attempt was withdrawn. Whether its work was dropped before it began.
+    pub fn cancel(&mut self, now: Nanos, id: u64) -> bool {
+        self.move_to(now);
+        let queued = self.jobs.get(&id).is_some_and(|(_, stage)| *stage == Stage::Queued);
+        if queued && self.spec.cancel == CancelRule::Waiting {
+            self.jobs.remove(&id);
+            self.queue.retain(|waiting| *waiting != id);
+            self.watch_crowd();
+            return true;
+        }
+        false
+    }
+
+    /// When something next happens here by itself.
+    pub fn next(&self) -> Option<Nanos> {
+        if !self.up {
+            return None;
+        }
+        let waits = self.waiting.peek().map(|Reverse((at, _))| *at).filter(|_| !self.ailment.hangs);
+        let choke = self.spec.choke.and_then(|choke| match self.choked_since {
+            None => self.crowded_since.map(|since| since + choke.over),
+            Some(since) => {
+                Some((since + choke.most).min(self.calm_since.map_or(Nanos::MAX, |at| at + choke.rest)))
+            }
+        });
+        let next = [self.computed_at(), waits, choke].into_iter().flatten().min()?;
+        Some(next.max(self.now))
+    }
+
+    /// Lets time pass and tells what has ended by then, in order.
+    pub fn advance(&mut self, now: Nanos, ended: &mut Vec<(Job, End)>) {
+        while let Some(next) = self.next().filter(|next| *next <= now) {
+            self.move_to(next);
+            self.turn(ended);
+        }
+        self.move_to(now);
+    }
+
+    /// Share of its cores in use as it is reported now, and never sooner than its delay tells. `noise` is a draw
+    /// from the standard normal distribution.
+    pub fn report(&mut self, now: Nanos, noise: f64) -> Option<f64> {
+        let reporting = self.spec.reporting?;
+        self.move_to(now);
+        let span = now.saturating_sub(self.refreshed);
+        if span >= reporting.period {
+            let fresh = (self.busy / (span as f64 * self.spec.cores)).min(1.0);
+            let told = self.util;
+            self.util += (fresh - self.util) * UTIL_WEIGHT;
+            let noisy = (self.util * (1.0 + reporting.noise * noise)).clamp(0.0, 1.5);
+            self.told_util = Some((told, now + reporting.delay, noisy));
+            (self.busy, self.refreshed) = (0.0, now);
+        }
+        self.told_util.map(|(before, from, after)| if now >= from { after } else { before })
+    }
+
+    /// Work that it could do in a second at full size, on a standard core, in nanoseconds.
+    pub fn capacity(&self) -> f64 {
+        self.spec.cores * self.spec.speed * SECOND
+    }
+
+    fn begin(&mut self, job: Job) {
+        self.held_slots += 1;
+        self.computes += 1;
+        self.computing.push(Reverse((Finite(self.served + job.work.max(1.0)), job.id)));
+        self.jobs.insert(job.id, (job, Stage::Computes));
+    }
+
+    /// Whatever is due at the present moment.
+    fn turn(&mut self, ended: &mut Vec<(Job, End)>) {
+        if let Some(&Reverse((due, id))) = self.computing.peek()
+            && self.computed_at().is_some_and(|at| at <= self.now)
+        {
+            // Rounding may leave a hair's breadth: the total is what the request was waiting for.
+            self.served = self.served.max(due.0);
+            self.computing.pop();
+            self.computes -= 1;
+            if let Some((job, stage)) = self.jobs.get_mut(&id) {
+                *stage = Stage::Waits;
+                self.waiting.push(Reverse((self.now.saturating_add(job.wait), id)));
+            }
+        }
+        while let Some(id) = self.waited_out() {
+            self.waiting.pop();
+            self.held_slots -= 1;
+            if let Some((job, _)) = self.jobs.remove(&id) {
+                let fails = job.luck < self.ailment.fails + self.spec.error_rate;
+                ended.push((job, if fails { End::Error } else { End::Served }));
+            }
+        }
+        while self.held_slots < self.spec.slots {
+            let Some(id) = self.queue.pop_front() else { break };
+            let Some((job, _)) = self.jobs.remove(&id) else { continue };
+            if self.spec.drops_expired && job.not_after <= self.now {
+                ended.push((job, End::Dropped));
+            } else {
+                self.begin(job);
+            }
+        }
+        self.watch_crowd();
+        self.watch_choke();
+    }
+
+    /// The request that has waited on others long enough by now. One that hangs answers none.
+    fn waited_out(&self) -> Option<u64> {
+        let Reverse((at, id)) = self.waiting.peek()?;
+        (*at <= self.now && !self.ailment.hangs).then_some(*id)
+    }
+
+    /// Service a second of real time that each computing request gets at full warmth; 0 while it hangs.
+    fn rate(&self) -> f64 {
+        if !self.up || self.ailment.hangs || self.computes == 0 {
+            return 0.0;
+        }
+        let held = self.jobs.len() as f64 / self.spec.cores;
+        let over = (held / self.spec.thrash_at.max(1e-9) - 1.0).max(0.0);
+        let taxed = self.connections as f64 / self.spec.connections.max(1) as f64;
+        let choked = match (self.choked_since, self.spec.choke) {
+            (Some(_), Some(choke)) => choke.slower,
+            _ => 1.0,
+        };
+        let efficiency = (1.0 - self.spec.full_tax * taxed) * (1.0 - self.ailment.taken)
+            / ((1.0 + self.spec.thrash * over) * choked * self.ailment.slower);
+        let share = (self.spec.cores / self.computes as f64).min(1.0);
+        self.spec.speed * efficiency * share
+    }
+
+    /// When the next request is done computing.
+    fn computed_at(&self) -> Option<Nanos> {
+        let Reverse((due, _)) = self.computing.peek()?;
+        let rate = self.rate();
+        if rate <= 0.0 {
+            return None;
+        }
+        let wanted = (due.0 - self.served).max(0.0) / rate;
+        Some(self.now.saturating_add(self.warm_span(wanted).ceil() as Nanos))
+    }
+
+    /// How long it takes from now on until the ramp's integral is this, in nanoseconds.
+    fn warm_span(&self, wanted: f64) -> f64 {
+        let (from, ramp) = (self.ramp(self.now), self.ramp_slope());
+        let Some(slope) = ramp else { return wanted };
+        let left = (1.0 - from) / slope;
+        let by_warm = left * (from + 1.0) / 2.0;
+        if wanted >= by_warm {
+            return left + (wanted - by_warm);
+        }
+        // from * t + slope * t * t / 2 = wanted
+        ((from * from + 2.0 * slope * wanted).sqrt() - from) / slope
+    }
+
+    /// The ramp's integral over a span from now on, in nanoseconds.
+    fn warm_integral(&self, span: f64) -> f64 {
+        let from = self.ramp(self.now);
+        let Some(slope) = self.ramp_slope() else { return span };
+        let left = ((1.0 - from) / slope).min(span);
+        left * (from + slope * left / 2.0) + (span - left)
+    }
+
+    /// What the ramp gains in a nanosecond; none once it is warm.
+    fn ramp_slope(&self) -> Option<f64> {
+        let gain = (1.0 - self.spec.cold_from) / self.spec.warm_after.max(1) as f64;
+        (gain > 0.0 && self.ramp(self.now) < 1.0).then_some(gain)
+    }
+
+    fn move_to(&mut self, now: Nanos) {
+        if now <= self.now {
+            return;
+        }
+        let span = (now - self.now) as f64;
+        let rate = self.rate();
+        if rate > 0.0 {
+            self.served += rate * self.warm_integral(span);
+        }
+        self.busy += span * (self.computes as f64).min(self.spec.cores);
+        self.now = now;
+        // The total is a difference of ever larger figures: idle, it starts anew.
+        if self.computing.is_empty() {
+            self.served = 0.0;
+        }
+    }
+
+    fn count_cold(&mut self, work: f64) {
+        let ramp = self.ramp(self.now);
+        if ramp >= 1.0 {
+            self.cold_sends.clear();
+            return;
+        }
+        self.cold_sends.push_back((self.now, work));
+        let since = self.now.saturating_sub(self.spec.tip_span);
+        while self.cold_sends.front().is_some_and(|(at, _)| *at < since) {
+            self.cold_sends.pop_front();
+        }
+        let sent: f64 = self.cold_sends.iter().map(|(_, work)| work).sum();
+        let span = self.spec.tip_span as f64 / SECOND;
+        let budget = self.spec.tip_multiple * ramp * self.capacity() * span;
+        let largest = self.cold_sends.iter().map(|(_, work)| *work).fold(0.0, f64::max);
+        if sent > budget * (1.0 + TIP_SLACK) + TIP_SLACK_REQUESTS * largest {
+            // What it held is lost without a word: the machine is gone, and its peers notice by themselves.
+            self.stop(self.now);
+            self.fallen = true;
+        }
+    }
+
+    /// Requests that wait for a core, for each core.
+    fn crowd(&self) -> f64 {
+        let waiting = (self.computes + self.queue.len()) as f64 - self.spec.cores;
+        waiting.max(0.0) / self.spec.cores
+    }
+
+    fn watch_crowd(&mut self) {
+        let Some(choke) = self.spec.choke else { return };
+        let crowded = self.crowd() >= choke.at;
+        self.crowded_since = crowded.then(|| self.crowded_since.unwrap_or(self.now));
+        let busy = (self.computes as f64 / self.spec.cores).min(1.0);
+        let calm = busy < choke.below;
+        self.calm_since = calm.then(|| self.calm_since.unwrap_or(self.now));
+    }
+
+    fn watch_choke(&mut self) {
+        let Some(choke) = self.spec.choke else { return };
+        match self.choked_since {
+            None => {
+                if self.crowded_since.is_some_and(|since| self.now >= since + choke.over) {
+                    self.choked_since = Some(self.now);
+                }
+            }
+            Some(since) => {
+                let rested = self.calm_since.is_some_and(|at| self.now >= at + choke.rest);
+                if rested || self.now >= since + choke.most {
+                    (self.choked_since, self.crowded_since) = (None, None);
+                    self.watch_crowd();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/model/src/timeline.rs
@@ -0,0 +1,182 @@
+//! What a world's troubles mean over time for everybody: which processes there will be, what the list will say and
+//! when, and what the links do. All of it is known before a run starts, so that every zone can look it up.
+
+use brookfield::{BackendId, Member, Nanos, Stage, ZoneId};
+
+use crate::world::{Act, LinkTrouble, Party, SECOND, Step, World};
+
+/// A draining server goes this long after it began.
+const DRAINS_FOR: Nanos = 2 * SECOND;
+/// The list tells of a new process this much later than of other changes.
+const FIRST_BOOT: Nanos = SECOND / 2;
+
+/// An app server's process: its place, and the number under which the list has it.
+#[derive(Clone, Copy, Debug)]
+pub struct Instance {
+    /// Its place among the world's servers.
+    pub server: usize,
+    /// Its zone.
+    pub zone: u32,
+    /// When it first starts; 0 for one that is up and warm when the run begins.
+    pub starts: Nanos,
+    /// When it is replaced.
+    pub ends: Option<Nanos>,
+}
+
+/// A change of the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Change {
+    /// When the list service has it.
+    pub at: Nanos,
+    /// The line.
+    pub member: Member,
+}
+
+/// Everything that is known before a run starts.
+#[derive(Clone, Debug)]
+pub struct Timeline {
+    /// When the load starts.
+    pub start: Nanos,
+    /// All processes of app servers, by their number.
+    pub instances: Vec<Instance>,
+    /// The list when the run begins.
+    pub first: Vec<Member>,
+    /// What changes on it, in order.
+    pub changes: Vec<Change>,
+    /// Faults, with absolute times.
+    pub steps: Vec<Step>,
+    /// Whether any of them is on a link.
+    pub links: bool,
+}
+
+impl Timeline {
+    /// Looks ahead over a world whose load begins at `start`.
+    pub fn of(world: &World, start: Nanos) -> Self {
+        let steps: Vec<Step> = world
+            .steps
+            .iter()
+            .map(|step| Step {
+                at: start + step.at,
+                until: step.until.map(|until| start + until),
+                act: step.act.clone(),
+            })
+            .collect();
+        let mut instances: Vec<Instance> = world
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(server, info)| Instance { server, zone: info.spec.zone, starts: 0, ends: None })
+            .collect();
+        let member = |number: usize, instance: &Instance, stage: Stage, since: Option<Nanos>| {
+            let info = &world.servers[instance.server];
+            Member {
+                backend: BackendId(number as u32),
+                zone: ZoneId(instance.zone),
+                kind: info.spec.kind,
+                cell: info.spec.cell,
+                stage,
+                size: info.size,
+                online_since: since,
+            }
+        };
+        let first = instances.iter().enumerate().map(|(n, i)| member(n, i, Stage::InService, None)).collect();
+        let mut changes = Vec::new();
+        let mut tell = |at: Nanos, member: Member| changes.push(Change { at, member });
+        // The process that is at a place when a step begins.
+        let at_place = |instances: &[Instance], server: usize, at: Nanos| {
+            let here =
+                |i: &Instance| i.server == server && i.starts <= at && i.ends.is_none_or(|end| at < end);
+            instances.iter().position(here)
+        };
+        for step in &steps {
+            match step.act {
+                Act::ReplaceServer(server) => {
+                    let Some(number) = at_place(&instances, server, step.at) else { continue };
+                    let (zone, gone) = (instances[number].zone, step.at + DRAINS_FOR);
+                    instances[number].ends = Some(gone);
+                    tell(step.at + world.notice, member(number, &instances[number], Stage::Draining, None));
+                    tell(gone + world.notice, member(number, &instances[number], Stage::Gone, None));
+                    let next = Instance { server, zone, starts: gone, ends: None };
+                    instances.push(next);
+                    let number = instances.len() - 1;
+                    let since = Some(gone);
+                    let told = gone + world.notice.max(FIRST_BOOT);
+                    tell(told, member(number, &next, Stage::InService, since));
+                }
+                Act::KillServer(server) => {
+                    let Some(number) = at_place(&instances, server, step.at) else { continue };
+                    let instance = instances[number];
+                    let back = step.until.unwrap_or(Nanos::MAX);
+                    if step.at.saturating_add(world.notice) < back {
+                        tell(step.at + world.notice, member(number, &instance, Stage::Gone, None));
+                    }
+                    if back != Nanos::MAX {
+                        let told = back + world.notice.max(FIRST_BOOT);
+                        tell(told, member(number, &instance, Stage::InService, Some(back)));
+                    }
+                }
+                Act::LoseZone(zone, cold) => {
+                    let back = step.until.unwrap_or(Nanos::MAX);
+                    for (number, &instance) in instances.iter().enumerate() {
+                        if instance.zone != zone || instance.ends.is_some_and(|end| end <= step.at) {
+                            continue;
+                        }
+                        let missed = step.at.saturating_add(world.silent);
+                        if missed < back {
+                            tell(missed, member(number, &instance, Stage::Gone, None));
+                        }
+                        if back != Nanos::MAX && (cold || missed < back) {
+                            let since = cold.then_some(back);
+                            tell(back + world.notice, member(number, &instance, Stage::InService, since));
+                        }
+                    }
+                }
+                _ => {}
+            }
+        }
+        changes.sort_by_key(|change| change.at);
+        let links = steps.iter().any(|step| matches!(step.act, Act::Link(..)));
+        Self { start, instances, first, changes, steps, links }
+    }
+
+    /// What the link from one party to another does now; none where it is as always. Of several troubles the cut
+    /// decides, and else the first.
+    pub fn link(&self, now: Nanos, from: (Party, u32), to: (Party, u32)) -> Option<LinkTrouble> {
+        if !self.links {
+            return None;
+        }
+        let matches = |end: Party, party: (Party, u32)| match end {
+            Party::All => true,
+            Party::Zone(zone) => party.1 == zone && party.0 != Party::Discovery,
+            _ => end == party.0,
+        };
+        let mut found = None;
+        for step in self.steps.iter().filter(|s| s.at <= now && s.until.is_none_or(|until| now < until)) {
+            let Act::Link(one, other, one_way, trouble) = step.act else { continue };
+            let forth = matches(one, from) && matches(other, to);
+            let back = !one_way && matches(other, from) && matches(one, to);
+            // A zone's own parties still reach each other when it is cut off from all.
+            let inside = matches!(one, Party::Zone(_)) && from.1 == to.1 && other == Party::All;
+            if (forth || back) && !inside {
+                if trouble == LinkTrouble::Cut {
+                    return Some(trouble);
+                }
+                found = found.or(Some(trouble));
+            }
+        }
+        found
+    }
+
+    /// Whether the list service is silent now, and how much later than usual it tells.
+    pub fn discovery(&self, now: Nanos) -> (bool, Nanos) {
+        let mut told = (false, 0);
+        for step in self.steps.iter().filter(|s| s.at <= now && s.until.is_none_or(|until| now < until)) {
+            match step.act {
+                Act::SilentDiscovery | Act::RubbishDiscovery => told.0 = true,
+                Act::LateDiscovery(late) => told.1 = late.max(told.1),
+                _ => {}
+            }
+        }
+        told
+    }
+}
--- /dev/null
+++ b/model/src/world.rs
@@ -0,0 +1,579 @@
+//! A plan with every figure drawn: the nodes, the servers, the load and the troubles of one run. The same plan and
+//! seed give the same world, and each part draws from a stream of its own, so that a further fault moves no server.
+
+use brookfield::Nanos;
+use rand::seq::SliceRandom;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha12Rng;
+use serde_json::{Value, json};
+
+use crate::plan::{Again, Effect, Fault, Picks, Plan, Range, Trouble};
+use crate::server::{CancelRule, Choke, Reporting, Spec};
+
+/// A second.
+pub const SECOND: Nanos = 1_000_000_000;
+/// A millisecond.
+pub const MS: Nanos = 1_000_000;
+
+/// Seconds as nanoseconds; 0 for what is negative or no number.
+pub fn seconds(value: f64) -> Nanos {
+    (value.max(0.0) * SECOND as f64) as Nanos
+}
+
+/// Milliseconds as nanoseconds; 0 for what is negative or no number.
+pub fn millis(value: f64) -> Nanos {
+    seconds(value / 1000.0)
+}
+
+/// A stream of random numbers of a world's seed, apart from all its others.
+pub fn stream(seed: u64, number: u64) -> ChaCha12Rng {
+    let mut rng = ChaCha12Rng::seed_from_u64(seed);
+    rng.set_stream(number);
+    rng
+}
+
+/// A node.
+#[derive(Clone, Debug)]
+pub struct NodeInfo {
+    /// Its name, the same after a restart.
+    pub name: String,
+    /// Its zone.
+    pub zone: u32,
+}
+
+/// An app server's place: its process may be replaced.
+#[derive(Clone, Copy, Debug)]
+pub struct ServerInfo {
+    /// What it is.
+    pub spec: Spec,
+    /// Its size as the list tells it: cores times speed, about.
+    pub size: f64,
+}
+
+/// A class with its figures drawn.
+#[derive(Clone, Debug)]
+pub struct ClassInfo {
+    /// Its name.
+    pub name: String,
+    /// Its part of the requests, all together 1.
+    pub share: f64,
+    /// Mean work on a standard core, in nanoseconds.
+    pub work: f64,
+    /// Waits on others, in nanoseconds.
+    pub wait: Nanos,
+    /// Spread of the work.
+    pub cv: f64,
+    /// Wanted time.
+    pub aim: Nanos,
+    /// When a client gives up.
+    pub deadline: Nanos,
+    /// Worth of one.
+    pub worth: f64,
+    /// Share of it that is left after the aim.
+    pub late_worth: f64,
+    /// Whether it may be repeated.
+    pub effect: Effect,
+    /// How long repeats of a keyed one are dropped.
+    pub window: Nanos,
+}
+
+/// A tenant with its figures drawn.
+#[derive(Clone, Debug)]
+pub struct TenantInfo {
+    /// Its name.
+    pub name: String,
+    /// Its part of the requests, all together 1.
+    pub part: f64,
+    /// Requests a second over all nodes within its share.
+    pub quota: f64,
+}
+
+/// The load with its figures drawn.
+#[derive(Clone, Debug)]
+pub struct LoadInfo {
+    /// Requests a second, on the mean.
+    pub rps: f64,
+    /// How far it swings up and down, as a share.
+    pub swing: f64,
+    /// From one crest to the next.
+    pub wave: Nanos,
+    /// Part of the requests that come to each zone's nodes, all together 1.
+    pub zones: Vec<f64>,
+    /// When a client comes again.
+    pub again: Again,
+    /// How often at most.
+    pub retries: u32,
+    /// First wait before it.
+    pub backoff: Nanos,
+    /// Share of the clients that heed `Retry-After`.
+    pub heeds: f64,
+    /// A try is given up after this share of the deadline.
+    pub try_share: f64,
+}
+
+/// One end of a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Party {
+    /// Everybody.
+    All,
+    /// The list service.
+    Discovery,
+    /// A node.
+    Node(usize),
+    /// An app server.
+    Server(usize),
+    /// All nodes and servers of a zone.
+    Zone(u32),
+}
+
+/// What a fault does to whom.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Act {
+    /// See [`Trouble::KillNode`].
+    KillNode(usize),
+    /// See [`Trouble::PauseNode`].
+    PauseNode(usize),
+    /// See [`Trouble::RestartNode`].
+    RestartNode(usize),
+    /// See [`Trouble::LateNode`].
+    LateNode(usize),
+    /// See [`Trouble::KillServer`].
+    KillServer(usize),
+    /// See [`Trouble::SlowServer`]; times slower.
+    SlowServer(usize, f64),
+    /// See [`Trouble::HangServer`].
+    HangServer(usize),
+    /// See [`Trouble::FailServer`]; the share that fails.
+    FailServer(usize, f64),
+    /// See [`Trouble::BusyServer`]; the share taken.
+    BusyServer(usize, f64),
+    /// See [`Trouble::ReplaceServer`].
+    ReplaceServer(usize),
+    /// See [`Trouble::LoseZone`]; whether it comes back cold.
+    LoseZone(u32, bool),
+    /// What a link does, from, to, and whether only that way.
+    Link(Party, Party, bool, LinkTrouble),
+    /// See [`Trouble::LateDiscovery`].
+    LateDiscovery(Nanos),
+    /// See [`Trouble::SilentDiscovery`].
+    SilentDiscovery,
+    /// See [`Trouble::BusyDiscovery`]; the share turned away.
+    BusyDiscovery(f64),
+    /// See [`Trouble::RubbishDiscovery`].
+    RubbishDiscovery,
+    /// See [`Trouble::MoveDiscovery`].
+    MoveDiscovery,
+    /// See [`Trouble::Burst`].
+    Burst(f64),
+    /// See [`Trouble::FloodTenant`].
+    FloodTenant(usize, f64),
+    /// See [`Trouble::RudeClients`]; connections a second.
+    RudeClients(f64),
+}
+
+/// What a link does.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LinkTrouble {
+    /// Nothing passes.
+    Cut,
+    /// It takes longer.
+    Delay(Nanos),
+    /// Bytes a second.
+    Throttle(f64),
+    /// The chance of a reset in a second.
+    Reset(f64),
+}
+
+/// A fault, and when.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Step {
+    /// From the start of the load.
+    pub at: Nanos,
+    /// Its end; none if it lasts.
+    pub until: Option<Nanos>,
+    /// What happens.
+    pub act: Act,
+}
+
+/// The figures of the rules.
+#[derive(Clone, Copy, Debug)]
+pub struct RuleInfo {
+    /// Nothing new goes to a server so long after the node was told that it drains.
+    pub drain_grace: Nanos,
+    /// The longest pause that a refusal may advise.
+    pub retry_after: Nanos,
+    /// Attempts for one request at most.
+    pub attempts: u32,
+    /// A cold server sent more than this multiple of its capacity falls over ...
+    pub fall_multiple: f64,
+    /// ... counted over any span of this length.
+    pub fall_span: Nanos,
+}
+
+/// A plan with every figure drawn.
+#[derive(Clone, Debug)]
+pub struct World {
+    /// What everything was drawn from.
+    pub seed: u64,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Names of the machine kinds.
+    pub kinds: Vec<String>,
+    /// The nodes.
+    pub nodes: Vec<NodeInfo>,
+    /// The app servers.
+    pub servers: Vec<ServerInfo>,
+    /// The classes.
+    pub classes: Vec<ClassInfo>,
+    /// The tenants.
+    pub tenants: Vec<TenantInfo>,
+    /// The load.
+    pub load: LoadInfo,
+    /// One way within a zone.
+    pub same: Nanos,
+    /// One way between zones.
+    pub cross: Nanos,
+    /// Relative spread of each delay.
+    pub jitter: f64,
+    /// A change reaches the nodes so much later.
+    pub notice: Nanos,
+    /// A server that has fallen silent is missed so much later.
+    pub silent: Nanos,
+    /// The figures of the rules.
+    pub rules: RuleInfo,
+    /// What goes wrong, in the order of its beginning.
+    pub steps: Vec<Step>,
+    /// Share of its capacity that any server starts with at least.
+    pub cold_from: f64,
+    /// The time by which any server is warm.
+    pub warm_after: Nanos,
+}
+
+fn draw(rng: &mut impl Rng, range: Range) -> f64 {
+    range.at(rng.random::<f64>())
+}
+
+/// Deals whole numbers out by shares, so that they add up.
+fn deal(total: usize, shares: &[f64]) -> Vec<usize> {
+    let sum: f64 = shares.iter().sum();
+    let (mut dealt, mut due) = (0, 0.0);
+    shares
+        .iter()
+        .map(|share| {
+            due += share / sum * total as f64;
+            let part = (due.round() as usize).saturating_sub(dealt);
+            dealt += part;
+            part
+        })
+        .collect()
+}
+
+impl World {
+    /// Draws a checked plan's figures.
+    pub fn draw(plan: &Plan, seed: u64) -> Self {
+        let plan = &plan.clone().with_usual();
+        let rules = RuleInfo {
+            drain_grace: millis(plan.rules.drain_grace_ms),
+            retry_after: millis(plan.rules.retry_after_ms),
+            attempts: plan.rules.attempts,
+            fall_multiple: plan.rules.fall_multiple,
+            fall_span: millis(plan.rules.fall_ms),
+        };
+        let zones = plan.fleet.zones.len();
+        let nodes: Vec<NodeInfo> = (0..plan.fleet.nodes)
+            .map(|n| NodeInfo { name: format!("n{n}"), zone: n % zones as u32 })
+            .collect();
+        let servers = draw_servers(plan, &rules, &mut stream(seed, 1));
+        let classes = draw_classes(plan, &mut stream(seed, 2));
+        let work: f64 = classes.iter().map(|class| class.share * class.work).sum();
+        let capacity: f64 = servers.iter().map(|s| s.spec.cores * s.spec.speed).sum();
+        // Requests a second that the servers can do, if none of them is ever idle.
+        let most = capacity * SECOND as f64 / work.max(1.0);
+        let rng = &mut stream(seed, 3);
+        let skew = draw(rng, plan.load.zone_skew);
+        let mut parts: Vec<f64> = (0..zones).map(|zone| if zone == 0 { 1.0 + skew } else { 1.0 }).collect();
+        // Requests come to nodes: a zone without one gets none.
+        for (zone, part) in parts.iter_mut().enumerate() {
+            if !nodes.iter().any(|node| node.zone as usize == zone) {
+                *part = 0.0;
+            }
+        }
+        let sum: f64 = parts.iter().sum();
+        let load = LoadInfo {
+            rps: plan.load.rps.unwrap_or(most * plan.load.utilisation),
+            swing: draw(rng, plan.load.swing),
+            wave: seconds(draw(rng, plan.load.wave_s)),
+            zones: parts.iter().map(|part| part / sum).collect(),
+            again: plan.load.again,
+            retries: plan.load.retries,
+            backoff: millis(draw(rng, plan.load.backoff_ms)),
+            heeds: draw(rng, plan.load.heeds),
+            try_share: draw(rng, plan.load.try_share),
+        };
+        let usage: Vec<f64> = plan.tenants.iter().map(|t| t.share * draw(rng, t.usage)).collect();
+        let all = usage.iter().sum::<f64>().max(1e-9);
+        let tenants = plan.tenants.iter().zip(&usage).map(|(tenant, usage)| TenantInfo {
+            name: tenant.name.clone(),
+            part: usage / all,
+            quota: tenant.share * most,
+        });
+        let rng = &mut stream(seed, 4);
+        let warm = plan.kinds.iter().map(|kind| kind.cold_s.from.max(kind.cold_s.to)).fold(0.0, f64::max);
+        let cold =
+            plan.kinds.iter().map(|kind| kind.cold_from.from.min(kind.cold_from.to)).fold(1.0, f64::min);
+        let mut world = Self {
+            seed,
+            zones: plan.fleet.zones.clone(),
+            kinds: plan.kinds.iter().map(|kind| kind.name.clone()).collect(),
+            nodes,
+            servers,
+            classes,
+            tenants: tenants.collect(),
+            load,
+            same: millis(draw(rng, plan.network.same_ms)),
+            cross: millis(draw(rng, plan.network.cross_ms)),
+            jitter: draw(rng, plan.network.jitter),
+            notice: seconds(draw(rng, plan.discovery.notice_s)),
+            silent: seconds(draw(rng, plan.discovery.silent_s)),
+            rules,
+            steps: Vec::new(),
+            cold_from: cold,
+            warm_after: seconds(warm),
+        };
+        for (n, fault) in (0..).zip(&plan.faults) {
+            let steps = world.steps_of(fault, &mut stream(seed, 100 + n));
+            world.steps.extend(steps);
+        }
+        world.steps.sort_by_key(|step| step.at);
+        world
+    }
+
+    /// One way between two zones, before jitter.
+    pub fn way(&self, from: u32, to: u32) -> Nanos {
+        if from == to { self.same } else { self.cross }
+    }
+
+    /// A party by the name that a plan gives it.
+    pub fn party(&self, name: &str) -> Option<Party> {
+        let number = |prefix: &str| name.strip_prefix(prefix).and_then(|number| number.parse::<usize>().ok());
+        match name {
+            "*" => return Some(Party::All),
+            "discovery" => return Some(Party::Discovery),
+            _ => {}
+        }
+        if let Some(zone) = self.zones.iter().position(|zone| zone == name) {
+            return Some(Party::Zone(zone as u32));
+        }
+        if let Some(node) = number("n").filter(|node| *node < self.nodes.len()) {
+            return Some(Party::Node(node));
+        }
+        number("s").filter(|server| *server < self.servers.len()).map(Party::Server)
+    }
+
+    /// The settings object of a node in this zone, in the operators' words and units.
+    pub fn settings(&self, zone: u32) -> Value {
+        let classes: Vec<Value> = self
+            .classes
+            .iter()
+            .map(|class| {
+                let mut object = json!({"name": class.name, "on-time-ns": class.aim, "deadline-ns": class.deadline,
+                    "importance": class.worth, "late-share": class.late_worth});
+                match class.effect {
+                    Effect::Repeatable => object["effect"] = json!("repeatable"),
+                    Effect::Once => object["effect"] = json!("once"),
+                    Effect::Keyed => {
+                        object["effect"] = json!("by_key");
+                        object["key-scope"] = json!("cell");
+                        object["window-ns"] = json!(class.window);
+                    }
+                }
+                object
+            })
+            .collect();
+        let mut settings = json!({
+            "az": self.zones[zone as usize], "zones": self.zones, "kinds": self.kinds,
+            "n-instances": self.nodes.len(), "discovery": "pushed", "weights": "nominal", "classes": classes,
+            "over-share-worth": 0.2, "worth-by": "request", "quantum-ns": 5 * MS,
+            "policy-limits": {"attempts-cap": self.rules.attempts, "second-copies": false, "probes": false,
+                "may-cancel": true, "max-retry-after-ns": self.rules.retry_after,
+                "conn-idle-ns": 15 * SECOND, "connect-timeout-ns": 200 * MS},
+            "goal": {"worst-class": 0.05},
+            "callers": {"marks-retry": false},
+            "rules": {"answer-slack-ns": 20 * MS, "drain-grace-ns": self.rules.drain_grace,
+                "start-capacity": self.cold_from, "warm-after-ns": self.warm_after,
+                "tip-multiple": self.rules.fall_multiple, "fall-ns": self.rules.fall_span},
+        });
+        if !self.tenants.is_empty() {
+            settings["projects"] =
+                self.tenants.iter().map(|t| json!({"name": t.name, "quota-rps": t.quota})).collect();
+        }
+        settings
+    }
+
+    fn steps_of(&self, fault: &Fault, rng: &mut impl Rng) -> Vec<Step> {
+        let at = draw(rng, fault.at_s);
+        let span = fault.for_s.map(|span| draw(rng, span));
+        let factor = fault.factor.map_or(0.0, |factor| draw(rng, factor));
+        let step = fault.step_s.map_or(0.0, |step| draw(rng, step));
+        let share = fault.share.map(|share| draw(rng, share));
+        let zone = fault.zone.as_ref().and_then(|name| self.zones.iter().position(|zone| zone == name));
+        let pick = |rng: &mut _, prefix: &str, zones: Vec<u32>| -> Vec<usize> {
+            if let Some(who) = &fault.who {
+                let number = who.strip_prefix(prefix).and_then(|number| number.parse().ok());
+                return number.filter(|number| *number < zones.len()).into_iter().collect();
+            }
+            let mut all: Vec<usize> =
+                (0..zones.len()).filter(|&at| zone.is_none_or(|zone| zones[at] as usize == zone)).collect();
+            all.shuffle(rng);
+            let count = match (fault.count, share) {
+                (Some(count), _) => count as usize,
+                (None, share) => (share.unwrap_or(0.0) * all.len() as f64).ceil() as usize,
+            };
+            all.truncate(count);
+            all
+        };
+        let each = |targets: Vec<usize>, act: &dyn Fn(usize) -> Act| -> Vec<Step> {
+            let begin = |n: usize| seconds(at + step * n as f64);
+            let made = |(n, target): (usize, usize)| Step {
+                at: begin(n),
+                until: span.map(|span| begin(n) + seconds(span)),
+                act: act(target),
+            };
+            targets.into_iter().enumerate().map(made).collect()
+        };
+        let one = |act: Act| vec![Step { at: seconds(at), until: span.map(|span| seconds(at + span)), act }];
+        let link = |trouble: LinkTrouble| {
+            let end = |name: &Option<String>| name.as_deref().and_then(|name| self.party(name));
+            match (end(&fault.from), end(&fault.to)) {
+                (Some(from), Some(to)) => one(Act::Link(from, to, fault.one_way, trouble)),
+                _ => Vec::new(),
+            }
+        };
+        let targets = match fault.what.picks() {
+            Picks::Nodes => pick(rng, "n", self.nodes.iter().map(|node| node.zone).collect()),
+            Picks::Servers => pick(rng, "s", self.servers.iter().map(|server| server.spec.zone).collect()),
+            _ => Vec::new(),
+        };
+        let named = |names: &[&String]| names.iter().position(|name| Some(*name) == fault.who.as_ref());
+        match fault.what {
+            Trouble::KillNode => each(targets, &Act::KillNode),
+            Trouble::PauseNode => each(targets, &Act::PauseNode),
+            Trouble::RestartNode => each(targets, &Act::RestartNode),
+            Trouble::LateNode => each(targets, &Act::LateNode),
+            Trouble::KillServer => each(targets, &Act::KillServer),
+            Trouble::SlowServer => each(targets, &|s| Act::SlowServer(s, factor)),
+            Trouble::HangServer => each(targets, &Act::HangServer),
+            Trouble::FailServer => each(targets, &|s| Act::FailServer(s, factor)),
+            Trouble::BusyServer => each(targets, &|s| Act::BusyServer(s, factor)),
+            Trouble::ReplaceServer => each(targets, &Act::ReplaceServer),
+            Trouble::LoseZone => {
+                let zone = named(&self.zones.iter().collect::<Vec<_>>());
+                zone.map_or(Vec::new(), |zone| one(Act::LoseZone(zone as u32, fault.cold)))
+            }
+            Trouble::CutLink => link(LinkTrouble::Cut),
+            Trouble::DelayLink => link(LinkTrouble::Delay(millis(factor))),
+            Trouble::ThrottleLink => link(LinkTrouble::Throttle(factor * 1000.0)),
+            Trouble::ResetLink => link(LinkTrouble::Reset(factor)),
+            Trouble::LateDiscovery => one(Act::LateDiscovery(seconds(factor))),
+            Trouble::SilentDiscovery => one(Act::SilentDiscovery),
+            Trouble::BusyDiscovery => one(Act::BusyDiscovery(factor)),
+            Trouble::RubbishDiscovery => one(Act::RubbishDiscovery),
+            Trouble::MoveDiscovery => one(Act::MoveDiscovery),
+            Trouble::Burst => one(Act::Burst(factor)),
+            Trouble::FloodTenant => {
+                let tenant = named(&self.tenants.iter().map(|tenant| &tenant.name).collect::<Vec<_>>());
+                tenant.map_or(Vec::new(), |tenant| one(Act::FloodTenant(tenant, factor)))
+            }
+            Trouble::RudeClients => one(Act::RudeClients(factor)),
+        }
+    }
+}
+
+fn draw_servers(plan: &Plan, rules: &RuleInfo, rng: &mut impl Rng) -> Vec<ServerInfo> {
+    let zones = plan.fleet.zones.len();
+    let sizes = if plan.fleet.sizes.is_empty() { vec![1.0; zones] } else { plan.fleet.sizes.clone() };
+    // One for each zone, whatever its size, and the rest by size.
+    let mut counts = deal(plan.fleet.servers as usize - zones, &sizes);
+    counts.iter_mut().for_each(|count| *count += 1);
+    let mut kinds: Vec<usize> = Vec::new();
+    let shares: Vec<f64> = plan.kinds.iter().map(|kind| kind.share).collect();
+    for (kind, count) in deal(plan.fleet.servers as usize, &shares).into_iter().enumerate() {
+        kinds.extend(std::iter::repeat_n(kind, count));
+    }
+    kinds.shuffle(rng);
+    let group = draw(rng, plan.fleet.group).round().max(1.0) as usize;
+    let choke = plan.fleet.chokes.then(|| Choke {
+        at: Range::of(7.0, 4.0).at(rng.random()),
+        over: seconds(Range::of(2.5, 1.5).at(rng.random())),
+        slower: Range::of(2.0, 3.5).at(rng.random()),
+        below: Range::of(0.4, 0.25).at(rng.random()),
+        rest: seconds(Range::of(2.1, 4.7).at(rng.random())),
+        most: seconds(Range::of(16.0, 31.0).at(rng.random())),
+    });
+    let reporting = plan.fleet.reports.then(|| Reporting {
+        period: millis(Range::of(8.0, 91.0).at(rng.random())),
+        delay: millis(Range::of(1.6, 28.0).at(rng.random())),
+        noise: Range::of(0.03, 0.2).at(rng.random()),
+    });
+    let cancel = if rng.random::<bool>() { CancelRule::Waiting } else { CancelRule::Nothing };
+    let drops_expired = rng.random::<bool>();
+    let handshake = Range::of(730_000.0, 2_300_000.0).at(rng.random());
+    let full_tax = Range::of(0.03, 0.15).at(rng.random());
+    // Servers of all zones take turns, so that a server's number tells nothing of its zone.
+    let mut turns: Vec<u32> = Vec::new();
+    for (zone, count) in counts.into_iter().enumerate() {
+        turns.extend(std::iter::repeat_n(zone as u32, count));
+    }
+    turns.shuffle(rng);
+    let mut within = vec![0usize; zones];
+    let servers = turns.into_iter().zip(kinds).map(|(zone, kind_at)| {
+        let kind = &plan.kinds[kind_at];
+        let cores = f64::from(kind.cores);
+        let speed = draw(rng, kind.speed);
+        let cell = (within[zone as usize] / group) as u64 * zones as u64 + u64::from(zone);
+        within[zone as usize] += 1;
+        let spec = Spec {
+            zone,
+            cell,
+            kind: kind_at as u32,
+            cores,
+            speed,
+            slots: (draw(rng, kind.slots) * cores).round().max(1.0) as usize,
+            room: (draw(rng, kind.room) * cores).round() as usize,
+            thrash: draw(rng, kind.thrash),
+            thrash_at: draw(rng, kind.thrash_at),
+            cold_from: draw(rng, kind.cold_from),
+            warm_after: seconds(draw(rng, kind.cold_s)),
+            error_rate: kind.error_rate,
+            cancel,
+            drops_expired,
+            connections: (Range::of(600.0, 900.0).at(rng.random()) * cores) as usize,
+            handshake,
+            full_tax,
+            choke,
+            tip_multiple: rules.fall_multiple,
+            tip_span: rules.fall_span,
+            reporting,
+        };
+        ServerInfo { spec, size: cores * (kind.speed.from + kind.speed.to) / 2.0 }
+    });
+    servers.collect()
+}
+
+fn draw_classes(plan: &Plan, rng: &mut impl Rng) -> Vec<ClassInfo> {
+    let all: f64 = plan.classes.iter().map(|class| class.share).sum();
+    let made = plan.classes.iter().map(|class| ClassInfo {
+        name: class.name.clone(),
+        share: class.share / all,
+        work: millis(draw(rng, class.work_ms)) as f64,
+        wait: millis(draw(rng, class.wait_ms)),
+        cv: draw(rng, class.cv),
+        aim: millis(class.aim_ms),
+        deadline: millis(class.deadline_ms),
+        worth: class.worth,
+        late_worth: class.late_worth,
+        effect: class.effect,
+        window: millis(class.window_ms),
+    });
+    made.collect()
+}
--- /dev/null
+++ b/model/tests/virtual_time.rs
@@ -0,0 +1,163 @@
+//! A whole fleet in virtual time, on this build's own decisions.
+
+use flaxdale_model::ledger::Invariant;
+use flaxdale_model::plan::{Fault, Plan, Range, Trouble};
+use flaxdale_model::run::{Options, Played, play};
+use flaxdale_model::world::{MS, SECOND, World};
+
+const SPAN: u64 = 20 * SECOND;
+
+fn options() -> Options {
+    Options { span: SPAN, tick: 0, threads: 1 }
+}
+
+fn fault(what: Trouble) -> Fault {
+    Fault {
+        what,
+        at_s: Range::only(5.0),
+        for_s: Some(Range::only(6.0)),
+        who: None,
+        count: None,
+        share: None,
+        zone: None,
+        factor: None,
+        from: None,
+        to: None,
+        one_way: false,
+        cold: false,
+        step_s: None,
+    }
+}
+
+fn plan(faults: Vec<Fault>) -> Plan {
+    let mut plan = Plan { faults, ..Plan::default() };
+    plan.fleet.zones = ["a", "b", "c"].map(str::to_owned).to_vec();
+    (plan.fleet.nodes, plan.fleet.servers) = (9, 24);
+    plan.check().expect("a plan that makes sense");
+    plan
+}
+
+fn run(plan: &Plan, seed: u64) -> Played {
+    play(plan, seed, options()).expect("played")
+}
+
+fn broken(played: &Played) -> Vec<&Invariant> {
+    played.ledger.invariants().iter().filter(|rule| rule.broken > 0).collect()
+}
+
+#[test]
+fn a_calm_fleet_serves_nearly_all_in_time_and_breaks_no_rule() {
+    let played = run(&plan(Vec::new()), 1);
+    let figures = played.measures();
+    assert_eq!(broken(&played), Vec::<&Invariant>::new());
+    assert!(figures["served_in_time_share"] > 0.99, "{figures:?}");
+    assert!(figures["asked"] > 2000.0, "{figures:?}");
+    assert_eq!(played.ledger.open(), 0, "every account is closed");
+}
+
+#[test]
+fn the_same_seed_plays_the_same_on_any_number_of_threads_and_another_one_does_not() {
+    let plan = plan(vec![Fault { who: Some("b".into()), cold: true, ..fault(Trouble::LoseZone) }]);
+    let print =
+        |seed, threads| play(&plan, seed, Options { threads, ..options() }).expect("played").fingerprint();
+    let first = print(7, 1);
+    for threads in [1, 2, 3] {
+        assert_eq!(print(7, threads), first, "{threads} threads");
+    }
+    assert_ne!(print(8, 1), first);
+}
+
+#[test]
+fn every_trouble_is_lived_through_with_the_rules_kept() {
+    let servers = |what, factor: Option<f64>| Fault {
+        share: Some(Range::only(0.2)),
+        factor: factor.map(Range::only),
+        ..fault(what)
+    };
+    let link = |what, factor: Option<f64>| Fault {
+        from: Some("a".into()),
+        to: Some("b".into()),
+        factor: factor.map(Range::only),
+        ..fault(what)
+    };
+    let nodes = |what| Fault { count: Some(2), ..fault(what) };
+    let zone = |cold| Fault { who: Some("a".into()), cold, ..fault(Trouble::LoseZone) };
+    let troubles = [
+        vec![servers(Trouble::SlowServer, Some(5.0))],
+        vec![servers(Trouble::HangServer, None)],
+        vec![servers(Trouble::FailServer, Some(0.7))],
+        vec![servers(Trouble::BusyServer, Some(0.6))],
+        vec![servers(Trouble::KillServer, None)],
+        vec![servers(Trouble::ReplaceServer, None)],
+        vec![nodes(Trouble::KillNode)],
+        vec![nodes(Trouble::PauseNode)],
+        vec![nodes(Trouble::RestartNode)],
+        vec![nodes(Trouble::LateNode)],
+        vec![zone(false)],
+        vec![zone(true)],
+        vec![link(Trouble::CutLink, None)],
+        vec![Fault { one_way: true, ..link(Trouble::CutLink, None) }],
+        vec![link(Trouble::DelayLink, Some(40.0))],
+        vec![fault(Trouble::SilentDiscovery), servers(Trouble::ReplaceServer, None)],
+        vec![Fault { factor: Some(Range::only(1.8)), ..fault(Trouble::Burst) }],
+    ];
+    for faults in troubles {
+        let named = format!("{:?}", faults[0].what);
+        let played = run(&plan(faults), 3);
+        assert_eq!(broken(&played), Vec::<&Invariant>::new(), "{named}");
+        // The troubles concern a third of the run at most, and a part of the fleet.
+        let served = played.measures()["served_in_time_share"];
+        assert!(served > 0.5, "{named}: {served}");
+    }
+}
+
+#[test]
+fn a_lost_zone_shows_in_its_seconds_and_not_before() {
+    let lost = run(&plan(vec![Fault { who: Some("a".into()), ..fault(Trouble::LoseZone) }]), 5);
+    let calm = run(&plan(Vec::new()), 5);
+    let earned = |played: &Played, from: usize, to: usize| -> f64 {
+        played.tally.seconds[from..to].iter().map(|second| second.earned).sum()
+    };
+    assert_eq!(earned(&lost, 0, 4), earned(&calm, 0, 4), "the same up to the fault");
+    assert!(earned(&lost, 5, 11) < 0.95 * earned(&calm, 5, 11));
+}
+
+#[test]
+fn nodes_that_handle_what_came_once_a_tick_answer_later() {
+    let plan = plan(Vec::new());
+    let ticked = play(&plan, 1, Options { tick: 5 * MS, ..options() }).expect("played");
+    assert_eq!(broken(&ticked), Vec::<&Invariant>::new());
+    let (at_once, ticked) = (run(&plan, 1).measures(), ticked.measures());
+    assert!(ticked["latency_p50_ms"] > at_once["latency_p50_ms"], "{at_once:?} {ticked:?}");
+}
+
+#[test]
+fn a_world_is_drawn_by_its_seed_and_a_further_fault_moves_no_server() {
+    let calm = World::draw(&plan(Vec::new()), 9);
+    let troubled = World::draw(&plan(vec![Fault { count: Some(2), ..fault(Trouble::KillNode) }]), 9);
+    let sizes = |world: &World| world.servers.iter().map(|s| (s.spec.zone, s.spec.speed)).collect::<Vec<_>>();
+    assert_eq!(sizes(&calm), sizes(&troubled));
+    assert_ne!(sizes(&calm), sizes(&World::draw(&plan(Vec::new()), 10)));
+    assert_eq!(troubled.steps.len(), 2);
+    let all: f64 = calm.load.zones.iter().sum();
+    assert!((all - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn a_plan_that_makes_no_sense_is_told_by_its_key() {
+    let told = |change: &dyn Fn(&mut Plan)| {
+        let mut plan = Plan::default();
+        change(&mut plan);
+        plan.check().expect_err("no sense").key
+    };
+    assert_eq!(told(&|plan| plan.fleet.zones.clear()), "fleet.zones");
+    assert_eq!(told(&|plan| plan.fleet.nodes = 0), "fleet.nodes");
+    assert_eq!(told(&|plan| plan.fleet.sizes = vec![1.0]), "fleet.sizes");
+    assert_eq!(told(&|plan| plan.load.utilisation = f64::MAX), "load.utilisation");
+    assert_eq!(told(&|plan| plan.faults = vec![fault(Trouble::KillNode)]), "fault[0].who");
+    assert_eq!(told(&|plan| plan.faults = vec![fault(Trouble::CutLink)]), "fault[0].from");
+    let unknown = Fault { who: Some("n9".into()), ..fault(Trouble::KillNode) };
+    assert_eq!(told(&|plan| plan.faults = vec![unknown.clone()]), "fault[0].who");
+    let strong = Fault { count: Some(1), factor: Some(Range::only(7.0)), ..fault(Trouble::FailServer) };
+    assert_eq!(told(&|plan| plan.faults = vec![strong.clone()]), "fault[0].factor");
+}
