Let whoever starts a node take it along: with EDGE_TETHER=stdin it ends with its input

A rig that starts 300 nodes and is killed itself would leave them all behind, and between a start and the note of its number there is a moment that no list of numbers covers. A node that is told so by its environment ends outright once its standard input does. Without the variable nothing changes: no thread is started and the input is not looked at.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -34,6 +34,9 @@
 /// Descriptors of the node's own: the runtime's, the standard streams, the listener, discovery's, the log.
 const OWN: usize = 16;
 
+/// Set to `stdin` by a program that starts nodes and must not leave any behind: the node ends with its input.
+const TETHER: &str = "EDGE_TETHER";
+
 /// What the node is told at its start.
 #[derive(Deserialize)]
 struct Config {
@@ -99,6 +102,9 @@
 
 async fn serve(config: Config, log: Arc<log::Bound>) -> Result<(), StartError> {
     spawn_local(log.report());
+    if std::env::var(TETHER).is_ok_and(|to| to == "stdin") {
+        end_with_input();
+    }
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     let (clients, backends) = shares(config.limits.sockets)?;
@@ -134,6 +140,15 @@
     Ok(())
 }
 
+/// Ends the process outright once whoever started it has gone, which closes its standard input.
+fn end_with_input() {
+    std::thread::spawn(|| {
+        // What comes is not looked at; an input that can't be read has no one at its other end either.
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(0);
+    });
+}
+
 /// How many descriptors clients and backends may hold. A third of all is in use by clients' requests at
 /// most, and each of those has one connection to a backend; what is left over is for peers that ask nothing
 /// and hold theirs until their time is up.
