--- a/model/src/plan.rs
+++ b/model/src/plan.rs
@@ -122,7 +122,7 @@
 impl std::error::Error for Problem {}
 
 /// What is to be played.
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Plan {
     /// Nodes, servers and zones.
@@ -150,7 +150,7 @@
 }
 
 /// Nodes, servers and zones.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Fleet {
     /// Names of the zones.
@@ -196,7 +196,7 @@
 }
 
 /// What clients ask for.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Load {
     /// Requests a second over all nodes; `utilisation` decides if absent.
@@ -239,7 +239,7 @@
 }
 
 /// Delays between the parties, one way.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Network {
     /// Within a zone, in milliseconds.
@@ -257,7 +257,7 @@
 }
 
 /// The list service.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Discovery {
     /// A change reaches the nodes so many seconds after it happened.
@@ -273,7 +273,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
     /// Nothing new goes to a server so long after the node was told that it drains.
@@ -301,7 +301,7 @@
 }
 
 /// A machine kind.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kind {
     /// Its name.
@@ -360,7 +360,7 @@
 }
 
 /// A request class.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Its name.
@@ -389,7 +389,7 @@
 }
 
 /// A customer.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tenant {
     /// Its name.
@@ -453,7 +453,7 @@
 }
 
 /// One fault. Which of the fields it takes depends on what it is.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// What goes wrong.
--- /dev/null
+++ b/rig/src/experiment.rs
@@ -0,0 +1,225 @@
+//! Experiment files: TOML, checked whole before anything starts. A problem is told with its file, line and key, and
+//! what would be right.
+
+use std::fmt;
+use std::path::{Path, PathBuf};
+
+use flaxdale_model::plan::{
+    Class, Discovery, Fault, Fleet, Kind, Load, MOST_SECONDS, Network, Plan, Rules, Tenant,
+};
+use serde::{Deserialize, Serialize};
+use toml::de::{DeTable, DeValue};
+
+/// A file larger than this is none.
+const MOST_BYTES: u64 = 1024 * 1024;
+/// Seconds that a run on sockets may last at most: its load has to be bounded.
+const MOST_SOCKET_SECONDS: f64 = 3600.0;
+
+/// On what an experiment is played.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum On {
+    /// Real node processes and sockets, in real time.
+    #[default]
+    Sockets,
+    /// The decision module in virtual time.
+    Virtual,
+}
+
+/// How an experiment is played.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Run {
+    /// For how long requests come.
+    pub seconds: f64,
+    /// On what it is played.
+    pub on: On,
+    /// The seed, where the command line names none.
+    pub seed: u64,
+    /// No verdict is given if the rig itself was later than this at the 99th percentile, in milliseconds.
+    pub lateness_ms: f64,
+    /// Most memory of a node's process, in mebibytes.
+    pub memory_mb: u64,
+    /// Most descriptors of a node's process.
+    pub sockets: u64,
+    /// The nodes' log filter; with few nodes each request's steps are kept, with many they are not.
+    pub log: Option<String>,
+    /// In virtual time nodes handle what has come in once in so long; 0 for at once.
+    pub tick_ms: f64,
+}
+
+impl Default for Run {
+    fn default() -> Self {
+        Self {
+            seconds: 15.0,
+            on: On::Sockets,
+            seed: 1,
+            lateness_ms: 50.0,
+            memory_mb: 192,
+            sockets: 1024,
+            log: None,
+            tick_ms: 0.0,
+        }
+    }
+}
+
+/// An experiment.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Experiment {
+    /// What it asks.
+    pub question: String,
+    /// How it is played.
+    pub run: Run,
+    /// See [`Plan::fleet`].
+    pub fleet: Fleet,
+    /// See [`Plan::load`].
+    pub load: Load,
+    /// See [`Plan::network`].
+    pub network: Network,
+    /// See [`Plan::discovery`].
+    pub discovery: Discovery,
+    /// See [`Plan::rules`].
+    pub rules: Rules,
+    /// See [`Plan::kinds`].
+    pub kind: Vec<Kind>,
+    /// See [`Plan::classes`].
+    pub class: Vec<Class>,
+    /// See [`Plan::tenants`].
+    pub tenant: Vec<Tenant>,
+    /// See [`Plan::faults`].
+    pub fault: Vec<Fault>,
+}
+
+/// Why a file is no experiment.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FileError {
+    /// The file.
+    pub file: PathBuf,
+    /// The line, from 1, where one is at fault.
+    pub line: Option<usize>,
+    /// What is wrong, with the key, and what would be right.
+    pub text: String,
+}
+
+impl fmt::Display for FileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "{}:{line}: {}", self.file.display(), self.text),
+            None => write!(f, "{}: {}", self.file.display(), self.text),
+        }
+    }
+}
+
+impl std::error::Error for FileError {}
+
+fn line_of(text: &str, at: usize) -> usize {
+    text.as_bytes().iter().take(at).filter(|byte| **byte == b'\n').count() + 1
+}
+
+impl Experiment {
+    /// Reads and checks a file.
+    pub fn read(file: &Path) -> Result<Self, FileError> {
+        let fail = |text: String| FileError { file: file.to_owned(), line: None, text };
+        let size = std::fs::metadata(file).map_err(|error| fail(error.to_string()))?.len();
+        if size > MOST_BYTES {
+            return Err(fail(format!("{size} bytes are too many; {MOST_BYTES} at most")));
+        }
+        let text = std::fs::read_to_string(file).map_err(|error| fail(error.to_string()))?;
+        Self::parse(file, &text)
+    }
+
+    /// Reads and checks a text; `file` is for its problems.
+    pub fn parse(file: &Path, text: &str) -> Result<Self, FileError> {
+        let file = file.to_owned();
+        let experiment: Self = toml::from_str(text).map_err(|error| FileError {
+            file: file.clone(),
+            line: error.span().map(|span| line_of(text, span.start)),
+            text: error.message().to_owned(),
+        })?;
+        match experiment.check() {
+            Ok(()) => Ok(experiment),
+            Err(problem) => {
+                let line = find(text, &problem.key).map(|at| line_of(text, at));
+                Err(FileError { file, line, text: problem.to_string() })
+            }
+        }
+    }
+
+    /// What is played.
+    pub fn plan(&self) -> Plan {
+        Plan {
+            fleet: self.fleet.clone(),
+            load: self.load.clone(),
+            network: self.network.clone(),
+            discovery: self.discovery.clone(),
+            rules: self.rules.clone(),
+            kinds: self.kind.clone(),
+            classes: self.class.clone(),
+            tenants: self.tenant.clone(),
+            faults: self.fault.clone(),
+        }
+        .with_usual()
+    }
+
+    /// The nodes' log filter.
+    pub fn log(&self) -> &str {
+        const FEW: u32 = 16;
+        let usual = if self.fleet.nodes <= FEW { "debug" } else { "info" };
+        self.run.log.as_deref().unwrap_or(usual)
+    }
+
+    /// What makes no sense in it, with the key at fault.
+    pub fn check(&self) -> Result<(), flaxdale_model::plan::Problem> {
+        let problem =
+            |key: &str, text: String| Err(flaxdale_model::plan::Problem { key: key.to_owned(), text });
+        let run = &self.run;
+        let most = if run.on == On::Sockets { MOST_SOCKET_SECONDS } else { MOST_SECONDS };
+        if !(0.5..=most).contains(&run.seconds) {
+            return problem("run.seconds", format!("0.5 to {most} is wanted"));
+        }
+        if !(0.1..=10_000.0).contains(&run.lateness_ms) {
+            return problem("run.lateness_ms", "0.1 to 10000 is wanted".into());
+        }
+        if !(16..=65_536).contains(&run.memory_mb) {
+            return problem("run.memory_mb", "16 to 65536 is wanted".into());
+        }
+        if !(32..=65_536).contains(&run.sockets) {
+            return problem("run.sockets", "32 to 65536 is wanted".into());
+        }
+        if !(0.0..=1000.0).contains(&run.tick_ms) {
+            return problem("run.tick_ms", "0 to 1000 is wanted".into());
+        }
+        self.plan().check()
+    }
+}
+
+/// Where a key such as `fault[2].zone` stands, or its nearest table that does.
+fn find(text: &str, key: &str) -> Option<usize> {
+    let table = DeTable::parse(text).ok()?;
+    let mut at = None;
+    let mut value: Option<&DeValue> = None;
+    for part in key.split('.') {
+        let (name, index) = match part.split_once('[') {
+            Some((name, rest)) => (name, rest.trim_end_matches(']').parse::<usize>().ok()),
+            None => (part, None),
+        };
+        let inside = match value {
+            None => table.get_ref(),
+            Some(DeValue::Table(inside)) => inside,
+            Some(_) => return at,
+        };
+        let Some((key, found)) = inside.iter().find(|(key, _)| key.get_ref().as_ref() == name) else {
+            return at;
+        };
+        at = Some(key.span().start);
+        value = Some(found.get_ref());
+        if let Some(index) = index {
+            let Some(DeValue::Array(items)) = value else { return at };
+            let Some(item) = items.get(index) else { return at };
+            at = Some(item.span().start);
+            value = Some(item.get_ref());
+        }
+    }
+    at
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,25 @@
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+//! The rig: plays load and faults against several real processes of the node, or against the decision module in
+//! virtual time, and reports what they came to.
+//!
+//! [`experiment`] reads what is to be played, [`play`] plays it and writes the results, [`compare`] holds two results
+//! against each other. On sockets [`sockets`] runs the parties: [`servers`] (emulated app servers), [`agents`] (the list
+//! service), [`relay`] (links that can be cut), [`callers`] (clients) and [`nodes`] (the real processes), which
+//! [`keeper`] ends if the rig can't.
+
+pub mod agents;
+pub mod callers;
+pub mod clock;
+pub mod compare;
+pub mod experiment;
+pub mod keeper;
+pub mod listener;
+pub mod nodes;
+pub mod play;
+pub mod relay;
+pub mod report;
+pub mod result;
+pub mod servers;
+pub mod shared;
+pub mod sockets;
--- /dev/null
+++ b/rig/src/nodes.rs
@@ -0,0 +1,336 @@
+//! The node's processes: started with a configuration, made ready, paused, killed, restarted under the same name and
+//! address, and ended.
+
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Seek, SeekFrom};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::ExitStatusExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rustix::process::Signal;
+use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::keeper::{Keeper, signal};
+use crate::shared::{Shared, lock};
+
+/// How often a node that starts is looked at.
+const LOOK: Duration = Duration::from_millis(10);
+/// A node that has not come so far by then never will.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// A node that was told to end has this long before it is killed.
+const END_PATIENCE: Duration = Duration::from_secs(8);
+
+/// Why a node is not there.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// The program can't be started.
+    #[error("{program}: {source}")]
+    Start {
+        /// The program.
+        program: String,
+        /// Why not.
+        source: std::io::Error,
+    },
+    /// Its files can't be written or read.
+    #[error("{file}: {source}")]
+    File {
+        /// The file.
+        file: String,
+        /// Why not.
+        source: std::io::Error,
+    },
+    /// It ended by itself.
+    #[error("{name} ended at its start ({status}); its log ends with: {tail}")]
+    Ended {
+        /// Its name.
+        name: String,
+        /// How.
+        status: ExitStatus,
+        /// Its last lines.
+        tail: String,
+    },
+    /// It never became ready.
+    #[error("{name} was not ready after {} s; its log ends with: {tail}", PATIENCE.as_secs())]
+    NeverReady {
+        /// Its name.
+        name: String,
+        /// Its last lines.
+        tail: String,
+    },
+}
+
+/// What starts nodes.
+pub struct Program {
+    /// The node's program.
+    pub binary: PathBuf,
+    /// Where its logs go.
+    pub logs: PathBuf,
+    /// Where its configurations go.
+    pub configs: PathBuf,
+    /// Its log filter.
+    pub filter: String,
+    /// Most descriptors, as it is told.
+    pub sockets: u64,
+    /// Most memory, as it is told.
+    pub memory_mb: u64,
+    /// Who ends it if the rig can't.
+    pub keeper: Option<Keeper>,
+}
+
+struct Life {
+    child: Child,
+    /// Wanted to end: its end is no crash.
+    told: bool,
+}
+
+/// One node.
+pub struct NodeProcess {
+    /// Its position among the world's nodes.
+    pub number: usize,
+    /// Its name.
+    pub name: String,
+    program: Arc<Program>,
+    shared: Arc<Shared>,
+    life: Mutex<Option<Life>>,
+    at: Mutex<Option<SocketAddr>>,
+    starts: Mutex<u32>,
+}
+
+/// How much of the machine a process holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Holds {
+    /// Resident memory, in kibibytes.
+    pub memory_kib: u64,
+    /// Descriptors.
+    pub descriptors: u64,
+    /// Processor time so far, in clock ticks of a hundredth of a second.
+    pub cpu_ticks: u64,
+}
+
+impl NodeProcess {
+    /// A node that has not started yet.
+    pub fn new(program: Arc<Program>, shared: Arc<Shared>, number: usize) -> Self {
+        let name = shared.world.nodes[number].name.clone();
+        let (life, at, starts) = Default::default();
+        Self { number, name, program, shared, life, at, starts }
+    }
+
+    /// Where it listens, once it has.
+    pub fn at(&self) -> Option<SocketAddr> {
+        *lock(&self.at)
+    }
+
+    /// Its process's number, while there is one.
+    pub fn pid(&self) -> Option<u32> {
+        lock(&self.life).as_ref().map(|life| life.child.id())
+    }
+
+    /// Its log.
+    pub fn log(&self) -> PathBuf {
+        self.program.logs.join(format!("{}.log", self.name))
+    }
+
+    fn config(&self) -> PathBuf {
+        self.program.configs.join(format!("{}.json", self.name))
+    }
+
+    /// Starts it and waits until it is ready. It takes the address that it had in its last life.
+    pub async fn start(&self, discovery: SocketAddr, known: Value) -> Result<(), NodeError> {
+        let (name, file) = (&self.name, self.log());
+        let started = {
+            let mut starts = lock(&self.starts);
+            *starts += 1;
+            *starts
+        };
+        let listen = self.at().unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+        let seed = seed_of(&self.shared, self.number, started);
+        let config = json!({"name": name, "listen": listen.to_string(), "discovery": discovery.to_string(),
+            "seed": format!("{seed:016x}"), "known": known,
+            "limits": {"cores": 1.0, "memory_mb": self.program.memory_mb, "sockets": self.program.sockets},
+            "settings": self.shared.world.settings(self.shared.world.nodes[self.number].zone)});
+        let of_file = |file: &Path| {
+            let file = file.display().to_string();
+            move |source| NodeError::File { file, source }
+        };
+        std::fs::write(self.config(), config.to_string()).map_err(of_file(&self.config()))?;
+        let mut log = OpenOptions::new().create(true).append(true).open(&file).map_err(of_file(&file))?;
+        let begins = log.seek(SeekFrom::End(0)).map_err(of_file(&file))?;
+        let errors = log.try_clone().map_err(of_file(&file))?;
+        let child = Command::new(&self.program.binary)
+            .env("EDGE_CONFIG", self.config())
+            .env("EDGE_NAME", name)
+            .env("EDGE_LISTEN", listen.to_string())
+            .env("EDGE_DISCOVERY", discovery.to_string())
+            .env("EDGE_LOG", &self.program.filter)
+            .env("EDGE_LOG_FORMAT", "json")
+            .env("EDGE_TETHER", "stdin")
+            .stdin(Stdio::piped())
+            .stdout(log)
+            .stderr(errors)
+            .spawn()
+            .map_err(|source| NodeError::Start {
+                program: self.program.binary.display().to_string(),
+                source,
+            })?;
+        let pid = child.id();
+        if let Some(keeper) = &self.program.keeper {
+            keeper.started(pid);
+        }
+        *lock(&self.life) = Some(Life { child, told: false });
+        self.shared.event("node-started", json!({"node": name, "pid": pid, "start": started}));
+        let patience = Instant::now() + PATIENCE;
+        let at = loop {
+            if let Some(at) = self.listens(begins) {
+                break at;
+            }
+            self.still_there(patience)?;
+            sleep(LOOK).await;
+        };
+        *lock(&self.at) = Some(at);
+        while !is_ready(at).await {
+            self.still_there(patience)?;
+            sleep(LOOK).await;
+        }
+        self.shared.event("node-ready", json!({"node": name, "listen": at.to_string()}));
+        Ok(())
+    }
+
+    fn still_there(&self, patience: Instant) -> Result<(), NodeError> {
+        let ended = lock(&self.life).as_mut().and_then(|life| life.child.try_wait().ok().flatten());
+        let (name, tail) = (self.name.clone(), || tail(&self.log()));
+        match ended {
+            Some(status) => Err(NodeError::Ended { name, status, tail: tail() }),
+            None if Instant::now() >= patience => Err(NodeError::NeverReady { name, tail: tail() }),
+            None => Ok(()),
+        }
+    }
+
+    /// The address that this life's log tells.
+    fn listens(&self, begins: u64) -> Option<SocketAddr> {
+        let mut file = File::open(self.log()).ok()?;
+        file.seek(SeekFrom::Start(begins)).ok()?;
+        let mut text = String::new();
+        file.read_to_string(&mut text).ok()?;
+        let at = |line: &str| serde_json::from_str::<Value>(line).ok()?["listen"].as_str()?.parse().ok();
+        text.lines().find_map(at)
+    }
+
+    /// Changes the address of discovery in its configuration and tells it.
+    pub fn reconfigure(&self, discovery: SocketAddr) -> Result<(), NodeError> {
+        let file = || self.config().display().to_string();
+        let text = std::fs::read(self.config()).map_err(|source| NodeError::File { file: file(), source })?;
+        let mut config: Value = serde_json::from_slice(&text)
+            .map_err(|error| NodeError::File { file: file(), source: error.into() })?;
+        config["discovery"] = json!(discovery.to_string());
+        std::fs::write(self.config(), config.to_string())
+            .map_err(|source| NodeError::File { file: file(), source })?;
+        self.pid().map(|pid| signal(pid, Signal::HUP));
+        Ok(())
+    }
+
+    /// Pauses it, or lets it go on.
+    pub fn pause(&self, paused: bool) -> bool {
+        self.pid().is_some_and(|pid| signal(pid, if paused { Signal::STOP } else { Signal::CONT }))
+    }
+
+    /// Kills it outright.
+    pub async fn kill(&self) {
+        self.tell_off(Signal::KILL);
+        self.gone(END_PATIENCE).await;
+    }
+
+    /// Tells it to end, and waits until it has. Whether it did so by itself.
+    pub async fn stop(&self) -> bool {
+        self.tell_off(Signal::TERM);
+        let ended = self.gone(END_PATIENCE).await;
+        if !ended {
+            self.kill().await;
+        }
+        ended
+    }
+
+    fn tell_off(&self, how: Signal) {
+        if let Some(life) = lock(&self.life).as_mut() {
+            life.told = true;
+            signal(life.child.id(), how);
+        }
+    }
+
+    /// Waits until its process has ended. False if it did not in time; true if there is none.
+    async fn gone(&self, patience: Duration) -> bool {
+        let until = Instant::now() + patience;
+        loop {
+            if self.reap().is_none() && self.pid().is_none() {
+                return true;
+            }
+            if Instant::now() >= until {
+                return self.pid().is_none();
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    /// Takes the end of its process, if it has ended. The text says how, for one that was not told to.
+    pub fn reap(&self) -> Option<String> {
+        let mut life = lock(&self.life);
+        let status = life.as_mut()?.child.try_wait().ok().flatten()?;
+        let ended = life.take()?;
+        drop(life);
+        let pid = ended.child.id();
+        if let Some(keeper) = &self.program.keeper {
+            keeper.ended(pid);
+        }
+        let (code, by) = (status.code(), status.signal());
+        self.shared.event("node-ended", json!({"node": self.name, "pid": pid, "code": code, "signal": by}));
+        (!ended.told).then(|| format!("{} ended by itself ({status}): {}", self.name, tail(&self.log())))
+    }
+
+    /// What its process holds.
+    pub fn holds(&self) -> Option<Holds> {
+        holds(self.pid()?)
+    }
+}
+
+/// What a process holds, as the system tells it.
+pub fn holds(pid: u32) -> Option<Holds> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let memory_kib = memory.trim().trim_end_matches("kB").trim().parse().ok()?;
+    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count() as u64;
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+    let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0);
+    Some(Holds { memory_kib, descriptors, cpu_ticks: ticks(11) + ticks(12) })
+}
+
+fn seed_of(shared: &Shared, node: usize, start: u32) -> u64 {
+    use rand::RngExt;
+    let mut rng = flaxdale_model::world::stream(shared.world.seed, 30_000 + node as u64);
+    rng.random::<u64>() ^ u64::from(start)
+}
+
+/// The last lines of a log, in one.
+fn tail(log: &Path) -> String {
+    const MOST: usize = 600;
+    let text = std::fs::read_to_string(log).unwrap_or_default();
+    let start = text.len().saturating_sub(MOST);
+    let start = (start..text.len()).find(|at| text.is_char_boundary(*at)).unwrap_or(text.len());
+    text[start..].trim().replace('\n', " | ")
+}
+
+async fn is_ready(at: SocketAddr) -> bool {
+    let asked = async {
+        let mut stream = TcpStream::connect(at).await.ok()?;
+        stream.write_all(b"GET /health/ready HTTP/1.1\r\nHost: rig\r\n\r\n").await.ok()?;
+        let mut head = [0; 12];
+        stream.read_exact(&mut head).await.ok()?;
+        Some(&head[9..12] == b"200")
+    };
+    timeout(Duration::from_secs(1), asked).await.ok().flatten().unwrap_or(false)
+}
--- /dev/null
+++ b/rig/src/play.rs
@@ -0,0 +1,265 @@
+//! Plays an experiment, on sockets or in virtual time, and writes what it came to into a folder.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Instant;
+
+use flaxdale_model::ledger::Invariant;
+use flaxdale_model::measure::Tally;
+use flaxdale_model::plan::Plan;
+use flaxdale_model::run::{self, Options};
+use flaxdale_model::world::{World, millis, seconds};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::experiment::{Experiment, On};
+use crate::report;
+use crate::result::{FILE, FORMAT, Moment, Played, RunResult, Verdict};
+use crate::shared::lock;
+use crate::sockets::{self, Progress, Ran, RunError, Stage};
+
+/// Requests whose way through the logs is told, and lines of each.
+const MOST_WAYS: usize = 10;
+const MOST_LINES: usize = 200;
+
+/// What is to be played, and where it leaves its results.
+pub struct Order {
+    /// The experiment's name.
+    pub name: String,
+    /// The experiment.
+    pub experiment: Experiment,
+    /// Its seed.
+    pub seed: u64,
+    /// A folder that exists.
+    pub folder: PathBuf,
+    /// The node's program.
+    pub binary: PathBuf,
+    /// This program, asked to run the keeper.
+    pub keeper: Option<Command>,
+}
+
+/// Why an experiment came to nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum PlayError {
+    /// It could not be played.
+    #[error(transparent)]
+    Run(#[from] RunError),
+    /// It could not be played in virtual time.
+    #[error("virtual time: {0}")]
+    Virtual(String),
+    /// The results can't be written.
+    #[error("{file}: {source}")]
+    Write {
+        /// The file.
+        file: PathBuf,
+        /// Why not.
+        source: std::io::Error,
+    },
+}
+
+/// Plays an experiment and writes `result.json`, `events.jsonl`, `report.html` and the logs into its folder.
+pub async fn play(
+    order: Order,
+    stop: watch::Receiver<bool>,
+    progress: impl Fn(&Progress) + Send + 'static,
+) -> Result<RunResult, PlayError> {
+    let folder = order.folder.clone();
+    let (result, events) = match order.experiment.run.on {
+        On::Virtual => (virtually(&order)?, Vec::new()),
+        On::Sockets => on_sockets(order, stop, progress).await?,
+    };
+    let ways = ways(&folder, &result.invariants);
+    let text = serde_json::to_string_pretty(&result).unwrap_or_default();
+    write(&folder.join(FILE), &text)?;
+    let lines: Vec<String> = events.iter().map(Value::to_string).collect();
+    write(&folder.join("events.jsonl"), &(lines.join("\n") + "\n"))?;
+    write(&folder.join("report.html"), &report::page(&result, &ways))?;
+    Ok(result)
+}
+
+fn write(file: &Path, text: &str) -> Result<(), PlayError> {
+    let done = std::fs::File::create(file).and_then(|mut file| file.write_all(text.as_bytes()));
+    done.map_err(|source| PlayError::Write { file: file.to_owned(), source })
+}
+
+async fn on_sockets(
+    order: Order,
+    stop: watch::Receiver<bool>,
+    progress: impl Fn(&Progress) + Send + 'static,
+) -> Result<(RunResult, Vec<Value>), PlayError> {
+    let version = version(Some(&order.binary));
+    let (experiment, seed, name) = (order.experiment, order.seed, order.name);
+    let stage = Stage {
+        experiment: experiment.clone(),
+        seed,
+        binary: order.binary,
+        folder: order.folder,
+        keeper: order.keeper,
+        folder_goes: false,
+        endless: false,
+    };
+    let ran = sockets::play(stage, stop, progress).await?;
+    let result = of_sockets(&ran, name, &experiment, seed, version);
+    Ok((result, ran.shared.events()))
+}
+
+fn of_sockets(ran: &Ran, name: String, experiment: &Experiment, seed: u64, version: String) -> RunResult {
+    let shared = &ran.shared;
+    let tally = lock(&shared.tally).clone();
+    let lateness = lock(&shared.lateness).value_at_quantile(0.99) as f64 / 1000.0;
+    let mut measures = tally.measures(&shared.world, 0);
+    let asked = tally.total().asked.max(1) as f64;
+    measures.insert("node_memory_mib_max".to_owned(), ran.most.0 as f64 / 1024.0);
+    measures.insert("node_descriptors_max".to_owned(), ran.most.1 as f64);
+    measures.insert("node_cpu_ms_per_request".to_owned(), ran.cpu_ms / asked);
+    measures.insert("rig_lateness_ms_p99".to_owned(), lateness);
+    if ran.rude.0 > 0 {
+        measures.insert("improper_peers".to_owned(), ran.rude.0 as f64);
+        measures
+            .insert("improper_peers_left_waiting_share".to_owned(), ran.rude.1 as f64 / ran.rude.0 as f64);
+    }
+    let invariants = lock(&shared.book).ledger.invariants().to_vec();
+    let late = lateness > experiment.run.lateness_ms;
+    let reason = if late {
+        Some(format!(
+            "the rig was {lateness:.1} ms late at the 99th percentile, past {}",
+            experiment.run.lateness_ms
+        ))
+    } else if ran.turned_away > 0 {
+        Some(format!("the rig had no room for {} requests", ran.turned_away))
+    } else {
+        None
+    };
+    let about = About { name, seed, version, on: On::Sockets, reason, lateness };
+    result_of(about, &shared.world, &tally, invariants, measures, experiment)
+}
+
+fn virtually(order: &Order) -> Result<RunResult, PlayError> {
+    let experiment = &order.experiment;
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let options =
+        Options { span: seconds(experiment.run.seconds), tick: millis(experiment.run.tick_ms), threads };
+    let began = Instant::now();
+    let played = run::play(&experiment.plan(), order.seed, options).map_err(PlayError::Virtual)?;
+    let took = began.elapsed().as_secs_f64().max(1e-9);
+    let mut measures = played.measures();
+    measures.insert("real_s".to_owned(), took);
+    measures.insert("times_real_time".to_owned(), experiment.run.seconds / took);
+    measures.insert("requests_per_real_s".to_owned(), played.tally.total().asked as f64 / took);
+    measures.insert("events_per_real_s".to_owned(), played.events as f64 / took);
+    let about = About {
+        name: order.name.clone(),
+        seed: order.seed,
+        version: version(None),
+        on: On::Virtual,
+        reason: None,
+        lateness: 0.0,
+    };
+    let invariants = played.ledger.invariants().to_vec();
+    Ok(result_of(about, &played.world, &played.tally, invariants, measures, experiment))
+}
+
+struct About {
+    name: String,
+    seed: u64,
+    version: String,
+    on: On,
+    reason: Option<String>,
+    lateness: f64,
+}
+
+fn result_of(
+    about: About,
+    world: &World,
+    tally: &Tally,
+    invariants: Vec<Invariant>,
+    measures: BTreeMap<String, f64>,
+    experiment: &Experiment,
+) -> RunResult {
+    let broken = invariants.iter().any(|rule| rule.broken > 0);
+    let verdict = match (&about.reason, broken) {
+        // A rig that was late may itself have broken what it saw broken.
+        (Some(_), _) => Verdict::None,
+        (None, true) => Verdict::Broken,
+        (None, false) => Verdict::Kept,
+    };
+    const SHARES: [f64; 14] =
+        [0.0, 0.1, 0.25, 0.5, 0.75, 0.9, 0.95, 0.97, 0.99, 0.995, 0.998, 0.999, 0.9995, 0.9999];
+    let delay = |share: f64| (share, tally.served.value_at_quantile(share) as f64 / 1000.0);
+    let plan: Plan = experiment.plan();
+    RunResult {
+        format: FORMAT,
+        experiment: about.name,
+        question: experiment.question.clone(),
+        seed: about.seed,
+        version: about.version,
+        on: about.on,
+        verdict,
+        reason: about.reason,
+        invariants,
+        measures,
+        lateness_ms_p99: about.lateness,
+        seconds: tally.seconds.iter().map(Moment::from).collect(),
+        delays: if tally.served.is_empty() { Vec::new() } else { SHARES.map(delay).to_vec() },
+        faults: world
+            .steps
+            .iter()
+            .map(|step| Played {
+                what: format!("{:?}", step.act),
+                from_s: step.at as f64 / 1e9,
+                to_s: step.until.map(|until| until as f64 / 1e9),
+            })
+            .collect(),
+        plan,
+    }
+}
+
+/// The version of this program, with a print of the node's, so that two builds of one version are told apart.
+fn version(binary: Option<&Path>) -> String {
+    let own = env!("CARGO_PKG_VERSION");
+    let print =
+        binary.and_then(|binary| std::fs::read(binary).ok()).map(|bytes| xxhash_rust::xxh3::xxh3_64(&bytes));
+    print.map_or_else(|| own.to_owned(), |print| format!("{own} ({print:016x})"))
+}
+
+/// The lines that the logs hold on each request that broke a rule, in the order of their times.
+fn ways(folder: &Path, invariants: &[Invariant]) -> Vec<(String, Vec<String>)> {
+    let mut ids: Vec<&str> = Vec::new();
+    for breach in invariants.iter().flat_map(|rule| &rule.breaches) {
+        if ids.len() < MOST_WAYS && !ids.contains(&breach.id.as_str()) {
+            ids.push(&breach.id);
+        }
+    }
+    if ids.is_empty() {
+        return Vec::new();
+    }
+    let mut ways: Vec<(String, Vec<String>)> = ids.iter().map(|id| ((*id).to_owned(), Vec::new())).collect();
+    let Ok(logs) = std::fs::read_dir(folder.join("logs")) else { return ways };
+    for log in logs.flatten() {
+        let Ok(file) = std::fs::File::open(log.path()) else { continue };
+        let name = log.file_name().to_string_lossy().into_owned();
+        for line in BufReader::new(file).lines().map_while(Result::ok) {
+            for (id, lines) in &mut ways {
+                if lines.len() < MOST_LINES && line.contains(id.as_str()) {
+                    lines.push(format!("{name}: {line}"));
+                }
+            }
+        }
+    }
+    let time = |line: &String| {
+        let json = line.split_once(": ").and_then(|(_, json)| serde_json::from_str::<Value>(json).ok());
+        json.and_then(|json| json["timestamp"].as_str().map(str::to_owned)).unwrap_or_default()
+    };
+    ways.iter_mut().for_each(|(_, lines)| lines.sort_by_key(time));
+    ways
+}
+
+/// The line of a progress, as JSON for scripts.
+pub fn progress_line(progress: &Progress) -> Value {
+    json!({"at_s": progress.at_s, "asked": progress.lately.asked, "in_time": progress.lately.in_time,
+        "refused": progress.lately.refused, "failed": progress.lately.failed,
+        "p50_ms": progress.p50_ms, "p99_ms": progress.p99_ms, "servers_up": progress.servers.0,
+        "lateness_ms_p99": progress.lateness_ms, "broken": progress.broken})
+}
--- /dev/null
+++ b/rig/src/shared.rs
@@ -0,0 +1,127 @@
+//! What the parties of a run on sockets share: the world, the clock, the book and what has happened.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use brookfield::Nanos;
+use flaxdale_model::ledger::{Ledger, Rule};
+use flaxdale_model::measure::Tally;
+use flaxdale_model::timeline::Timeline;
+use flaxdale_model::world::World;
+use hdrhistogram::Histogram;
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+
+/// Events that are kept; what comes after is counted only.
+const MOST_EVENTS: usize = 200_000;
+
+/// Takes a lock also if somebody panicked with it: what is in it was whole after each call.
+pub fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A request as the servers have to know it.
+#[derive(Clone, Copy, Debug)]
+pub struct Known {
+    /// The node that it was sent to.
+    pub node: usize,
+    /// Work on a standard core, in nanoseconds.
+    pub work: f64,
+    /// Waits on others.
+    pub wait: Nanos,
+    /// When its client gives up.
+    pub not_after: Nanos,
+}
+
+/// The rules' book, with what the servers have to know of each request.
+pub struct Book {
+    /// The book.
+    pub ledger: Ledger,
+    /// The requests of late, by id.
+    pub known: HashMap<u64, Known>,
+}
+
+/// What the parties share.
+pub struct Shared {
+    /// The world.
+    pub world: World,
+    timeline: RwLock<Arc<Timeline>>,
+    /// The clock.
+    pub clock: Clock,
+    /// The book.
+    pub book: Mutex<Book>,
+    /// What the requests come to.
+    pub tally: Mutex<Tally>,
+    /// How late the rig itself was, in microseconds.
+    pub lateness: Mutex<Histogram<u64>>,
+    /// When each node was told that a process drains or is gone, by its number.
+    pub drains: Vec<Mutex<HashMap<u32, Nanos>>>,
+    /// Whether the load has begun.
+    pub begun: watch::Sender<bool>,
+    events: Mutex<Vec<Value>>,
+}
+
+impl Shared {
+    /// Nothing has happened yet.
+    pub fn new(world: World, timeline: Timeline, clock: Clock, ledger: Ledger) -> Self {
+        let tally = Tally::new(&world, timeline.start);
+        let world_nodes = world.nodes.iter().map(|_| Mutex::default()).collect();
+        let lateness = Histogram::new(3).unwrap_or_else(|_| unreachable!("three digits are fine"));
+        Self {
+            world,
+            clock,
+            book: Mutex::new(Book { ledger, known: HashMap::new() }),
+            tally: Mutex::new(tally),
+            lateness: Mutex::new(lateness),
+            drains: world_nodes,
+            begun: watch::Sender::new(false),
+            events: Mutex::default(),
+            timeline: RwLock::new(Arc::new(timeline)),
+        }
+    }
+
+    /// What is known of the world beforehand. Until the load starts its start lies far ahead.
+    pub fn timeline(&self) -> Arc<Timeline> {
+        self.timeline.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// The load starts then: faults and the list's changes count from it.
+    pub fn begin(&self, start: Nanos, ledger: Ledger) {
+        let timeline = Timeline::of(&self.world, start);
+        *self.timeline.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(timeline);
+        *lock(&self.tally) = Tally::new(&self.world, start);
+        lock(&self.book).ledger = ledger;
+        self.begun.send_replace(true);
+    }
+
+    /// Milliseconds since the start of the load; negative before.
+    pub fn at_ms(&self, at: Nanos) -> f64 {
+        (at as f64 - self.timeline().start as f64) / 1e6
+    }
+
+    /// Notes what has happened, now.
+    pub fn event(&self, kind: &str, mut fields: Value) {
+        // Before the load begins there is nothing to count from.
+        let at = if *self.begun.borrow() { self.at_ms(self.clock.now()) } else { 0.0 };
+        fields["at_ms"] = json!((at * 10.0).round() / 10.0);
+        fields["kind"] = json!(kind);
+        tracing::debug!(kind, fields = %fields, "event");
+        let mut events = lock(&self.events);
+        if events.len() < MOST_EVENTS {
+            events.push(fields);
+        }
+    }
+
+    /// All that has happened, in order.
+    pub fn events(&self) -> Vec<Value> {
+        lock(&self.events).clone()
+    }
+
+    /// Notes a broken rule, and an event with it.
+    pub fn breach(&self, rule: Rule, id: String, what: String) {
+        self.event("breach", json!({"rule": rule.name(), "id": id, "what": what}));
+        lock(&self.book).ledger.breach(rule, id, self.clock.now(), what);
+    }
+}
--- /dev/null
+++ b/rig/src/sockets.rs
@@ -0,0 +1,591 @@
+//! An experiment on sockets: real node processes between emulated app servers, agents and clients, with faults.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use brookfield::Nanos;
+use flaxdale_model::ledger::{Ledger, Limits, Rule};
+use flaxdale_model::measure::Second;
+use flaxdale_model::plan::Range;
+use flaxdale_model::server::Ailment;
+use flaxdale_model::timeline::Timeline;
+use flaxdale_model::world::{Act, MS, Party, SECOND, World, seconds, stream};
+use rand::RngExt;
+use serde_json::json;
+use tokio::sync::{Semaphore, watch};
+use tokio::task::JoinSet;
+use tokio::time::{interval, sleep};
+
+use crate::agents::{Agent, Endpoints};
+use crate::callers::Callers;
+use crate::clock::Clock;
+use crate::experiment::Experiment;
+use crate::keeper::Keeper;
+use crate::nodes::{NodeError, NodeProcess, Program};
+use crate::relay::{Link, MOST_LINKS};
+use crate::servers::{AppServer, First};
+use crate::shared::{Shared, lock};
+
+/// The rules' slack on sockets, on top of each limit, and what two observers on one machine may differ by.
+const SOCKET_SLACK: Nanos = 50 * MS;
+/// An answer may come so long after a client's time: until then its node has not lost it.
+const ANSWER_SLACK: Nanos = SECOND / 2;
+/// Nodes that are started at a time.
+const STARTS: usize = 12;
+/// Between the last node's readiness and the first request.
+const LEAD: Nanos = SECOND / 4;
+/// How often processes are looked at.
+const SAMPLE: Duration = Duration::from_millis(500);
+/// How long the front goes on sending to a dead node.
+const FRONT_NOTICE: Range = Range::of(1.1, 3.9);
+/// How long connections go on coming to a node that was told to end.
+const STILL_COMES: Duration = Duration::from_millis(300);
+const HUNDREDTH_MS: f64 = 10.0;
+
+/// What to play, with which programs.
+pub struct Stage {
+    /// The experiment.
+    pub experiment: Experiment,
+    /// Its seed.
+    pub seed: u64,
+    /// The node's program.
+    pub binary: PathBuf,
+    /// A folder that exists, for the logs and configurations.
+    pub folder: PathBuf,
+    /// This program, asked to run the keeper.
+    pub keeper: Option<Command>,
+    /// Whether the folder goes with the run.
+    pub folder_goes: bool,
+    /// Whether it plays until it is told to stop.
+    pub endless: bool,
+}
+
+/// How a run goes, once a second.
+#[derive(Clone, Debug, Default)]
+pub struct Progress {
+    /// Seconds since the start of the load.
+    pub at_s: f64,
+    /// Requests that ended since the last look.
+    pub lately: Second,
+    /// All so far.
+    pub total: Second,
+    /// Median delay of what was served, in milliseconds.
+    pub p50_ms: f64,
+    /// Its 99th percentile.
+    pub p99_ms: f64,
+    /// Servers that are up, and how many there are.
+    pub servers: (usize, usize),
+    /// Nodes that run, and how many there are.
+    pub nodes: (usize, usize),
+    /// The rig's own lateness at the 99th percentile, in milliseconds.
+    pub lateness_ms: f64,
+    /// Broken rules so far.
+    pub broken: u64,
+}
+
+/// What a run on sockets left.
+pub struct Ran {
+    /// Everything that the parties shared.
+    pub shared: Arc<Shared>,
+    /// Requests that the rig could not make for want of room.
+    pub turned_away: u64,
+    /// Improper peers, and those of them that were left waiting.
+    pub rude: (u64, u64),
+    /// Most memory of a node's process, in kibibytes, and most descriptors.
+    pub most: (u64, u64),
+    /// Processor time of all nodes, in milliseconds.
+    pub cpu_ms: f64,
+    /// For how long requests came, in seconds.
+    pub load_s: f64,
+}
+
+/// Why a run came to nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A node did not start.
+    #[error(transparent)]
+    Node(#[from] NodeError),
+    /// The machine did not give what the run needs.
+    #[error("{what}: {source}")]
+    Machine {
+        /// What was wanted.
+        what: &'static str,
+        /// Why it was not given.
+        source: std::io::Error,
+    },
+    /// More links than a run may have.
+    #[error("the faults concern {0} links, and {MOST_LINKS} is the most: name fewer parties")]
+    Links(usize),
+}
+
+struct Run {
+    shared: Arc<Shared>,
+    servers: Vec<Arc<AppServer>>,
+    agents: Vec<Arc<Agent>>,
+    nodes: Vec<Arc<NodeProcess>>,
+    callers: Arc<Callers>,
+    front_notice: Duration,
+    most_memory: AtomicU64,
+    most_descriptors: AtomicU64,
+    /// Processor time by node, as last seen.
+    cpu: Vec<AtomicU64>,
+    bounds: (u64, u64),
+}
+
+/// Plays an experiment. `stop` ends the load early; `progress` is called once a second.
+pub async fn play(
+    stage: Stage,
+    stop: watch::Receiver<bool>,
+    progress: impl Fn(&Progress) + Send + 'static,
+) -> Result<Ran, RunError> {
+    let machine = |what| move |source| RunError::Machine { what, source };
+    let experiment = &stage.experiment;
+    let plan = experiment.plan();
+    let world = World::draw(&plan, stage.seed);
+    let clock = Clock::start();
+    let limits = Limits {
+        answer_slack: ANSWER_SLACK + SOCKET_SLACK,
+        drain_grace: world.rules.drain_grace,
+        observers: SOCKET_SLACK,
+    };
+    // The load starts when all is ready; until then nothing of the timeline comes due.
+    let far = clock.now() + 86_400 * SECOND;
+    let timeline = Timeline::of(&world, far);
+    let shared = Arc::new(Shared::new(world, timeline, clock, Ledger::new(limits, far)));
+    let mut servers = Vec::new();
+    for (number, instance) in shared.timeline().instances.iter().enumerate() {
+        let first = if instance.starts == 0 { First::Up } else { First::Later };
+        let server = AppServer::open(shared.clone(), number as u32, first);
+        servers.push(server.map_err(machine("an app server's port"))?);
+    }
+    let direct: Endpoints = servers.iter().map(|server| server.at()).collect();
+    let touched = touched_links(&shared);
+    if touched.len() > MOST_LINKS {
+        return Err(RunError::Links(touched.len()));
+    }
+    let mut agents = Vec::new();
+    for node in 0..shared.world.nodes.len() {
+        let mut endpoints = direct.clone();
+        for &(_, instance) in touched.iter().filter(|(of, _)| *of == node) {
+            let place = shared.timeline().instances[instance];
+            let from = (Party::Node(node), shared.world.nodes[node].zone);
+            let to = (Party::Server(place.server), place.zone);
+            let link = Link::open(shared.clone(), from, to, direct[instance]);
+            endpoints[instance] = link.map_err(machine("a link's port"))?;
+        }
+        agents.push(Agent::open(shared.clone(), node, endpoints).map_err(machine("an agent's port"))?);
+    }
+    let keeper = match stage.keeper {
+        Some(command) => Some(Keeper::start(command).map_err(machine("the keeper's process"))?),
+        None => None,
+    };
+    if let Some(keeper) = keeper.as_ref().filter(|_| stage.folder_goes) {
+        keeper.made(&stage.folder);
+    }
+    let (logs, configs) = (stage.folder.join("logs"), stage.folder.join("configs"));
+    for folder in [&logs, &configs] {
+        std::fs::create_dir_all(folder).map_err(machine("a folder for logs"))?;
+    }
+    let program = Arc::new(Program {
+        binary: stage.binary,
+        logs,
+        configs: configs.clone(),
+        filter: experiment.log().to_owned(),
+        sockets: experiment.run.sockets,
+        memory_mb: experiment.run.memory_mb,
+        keeper,
+    });
+    let nodes: Vec<Arc<NodeProcess>> = (0..shared.world.nodes.len())
+        .map(|number| Arc::new(NodeProcess::new(program.clone(), shared.clone(), number)))
+        .collect();
+    let notice = FRONT_NOTICE.at(stream(shared.world.seed, 12).random());
+    let run = Arc::new(Run {
+        callers: Callers::new(shared.clone()),
+        servers,
+        agents,
+        front_notice: Duration::from_secs_f64(notice),
+        most_memory: AtomicU64::new(0),
+        most_descriptors: AtomicU64::new(0),
+        cpu: nodes.iter().map(|_| AtomicU64::new(0)).collect(),
+        bounds: (experiment.run.memory_mb * 1024, experiment.run.sockets),
+        nodes,
+        shared: shared.clone(),
+    });
+    if let Err(error) = run.start_all().await {
+        run.end_all().await;
+        return Err(error.into());
+    }
+    let start = clock.now() + LEAD;
+    shared.begin(start, Ledger::new(limits, start));
+    run.callers.begin(start);
+    let span = if stage.endless { Nanos::MAX / 4 } else { seconds(experiment.run.seconds) };
+    run.clone().carry(start.saturating_add(span), stop, progress).await;
+    let load_s = shared.at_ms(clock.now()) / 1000.0;
+    run.end_all().await;
+    // Configurations are the run's own; logs stay.
+    let _ = std::fs::remove_dir_all(&configs);
+    let ticks: u64 = run.cpu.iter().map(|cpu| cpu.load(Ordering::Relaxed)).sum();
+    let [asked, left] = &run.callers.rude;
+    Ok(Ran {
+        turned_away: run.callers.turned_away.load(Ordering::Relaxed),
+        rude: (asked.load(Ordering::Relaxed), left.load(Ordering::Relaxed)),
+        most: (run.most_memory.load(Ordering::Relaxed), run.most_descriptors.load(Ordering::Relaxed)),
+        cpu_ms: ticks as f64 * HUNDREDTH_MS,
+        load_s,
+        shared,
+    })
+}
+
+/// The links between a node and a server's process that any fault concerns.
+fn touched_links(shared: &Shared) -> Vec<(usize, usize)> {
+    let (world, timeline) = (&shared.world, shared.timeline());
+    let mut touched = Vec::new();
+    for (node, info) in world.nodes.iter().enumerate() {
+        for (number, instance) in timeline.instances.iter().enumerate() {
+            let (from, to) =
+                ((Party::Node(node), info.zone), (Party::Server(instance.server), instance.zone));
+            let concerned = timeline.steps.iter().any(|step| {
+                let mut alone = Timeline::of(world, timeline.start);
+                alone.steps = vec![step.clone()];
+                alone.link(step.at, from, to).or_else(|| alone.link(step.at, to, from)).is_some()
+            });
+            if concerned {
+                touched.push((node, number));
+            }
+        }
+    }
+    touched
+}
+
+impl Run {
+    async fn start_all(self: &Arc<Self>) -> Result<(), NodeError> {
+        let late: Vec<usize> = self
+            .shared
+            .world
+            .steps
+            .iter()
+            .filter_map(|step| if let Act::LateNode(node) = step.act { Some(node) } else { None })
+            .collect();
+        let slots = Arc::new(Semaphore::new(STARTS));
+        let mut starting = JoinSet::new();
+        for node in (0..self.nodes.len()).filter(|node| !late.contains(node)) {
+            let (run, slots) = (self.clone(), slots.clone());
+            starting.spawn(async move {
+                let _slot = slots.acquire_owned().await;
+                run.start_node(node).await
+            });
+        }
+        while let Some(started) = starting.join_next().await {
+            // A task that panicked is a fault of the rig, and leaves a node out: that shows as one not ready.
+            started.unwrap_or(Ok(()))?;
+        }
+        Ok(())
+    }
+
+    async fn start_node(&self, node: usize) -> Result<(), NodeError> {
+        let agent = &self.agents[node];
+        lock(&self.shared.drains[node]).clear();
+        self.nodes[node].start(agent.at(), agent.list()).await?;
+        let place = &self.callers.places[node];
+        *lock(&place.at) = self.nodes[node].at();
+        place.open.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Ends every process that was started, and holds that each has ended as it was told to.
+    async fn end_all(self: &Arc<Self>) {
+        let mut ending = JoinSet::new();
+        for node in &self.nodes {
+            let (node, run) = (node.clone(), self.clone());
+            ending.spawn(async move {
+                run.look_at(&node);
+                // A paused process can't end.
+                node.pause(false);
+                if node.pid().is_some() {
+                    lock(&run.shared.book).ledger.check(Rule::ProcessesEnded);
+                    if !node.stop().await {
+                        let what = "did not end after SIGTERM, and was killed".to_owned();
+                        run.shared.breach(Rule::ProcessesEnded, node.name.clone(), what);
+                    }
+                }
+            });
+        }
+        while ending.join_next().await.is_some() {}
+        let left: Vec<u32> = self.nodes.iter().filter_map(|node| node.pid()).collect();
+        for pid in left {
+            let what = "still there after the run".to_owned();
+            self.shared.breach(Rule::ProcessesEnded, pid.to_string(), what);
+        }
+    }
+
+    /// Load, faults and the look at it, until `end` or until told to stop.
+    async fn carry(
+        self: Arc<Self>,
+        end: Nanos,
+        mut stop: watch::Receiver<bool>,
+        progress: impl Fn(&Progress) + Send + 'static,
+    ) {
+        let mut beside = JoinSet::new();
+        beside.spawn(self.callers.clone().tidy());
+        beside.spawn(self.clone().watch_processes());
+        beside.spawn(self.clone().tell(progress));
+        beside.spawn(self.clone().make_trouble());
+        let asking = tokio::spawn(self.callers.clone().run(end));
+        let stopping = asking.abort_handle();
+        tokio::select! {
+            _ = asking => {}
+            told = stop.wait_for(|stop| *stop) => {
+                // Whoever held the other end is gone, or wants an end: both mean it.
+                drop(told);
+                stopping.abort();
+                self.callers.settle().await;
+            }
+        }
+        beside.abort_all();
+        while beside.join_next().await.is_some() {}
+    }
+
+    async fn watch_processes(self: Arc<Self>) {
+        let mut every = interval(SAMPLE);
+        loop {
+            every.tick().await;
+            for node in &self.nodes {
+                self.look_at(node);
+            }
+        }
+    }
+
+    fn look_at(&self, node: &NodeProcess) {
+        if let Some(how) = node.reap() {
+            self.callers.places[node.number].open.store(false, Ordering::Relaxed);
+            self.shared.breach(Rule::ProcessesEnded, node.name.clone(), how);
+            return;
+        }
+        let Some(holds) = node.holds() else { return };
+        self.most_memory.fetch_max(holds.memory_kib, Ordering::Relaxed);
+        self.most_descriptors.fetch_max(holds.descriptors, Ordering::Relaxed);
+        self.cpu[node.number].fetch_max(holds.cpu_ticks, Ordering::Relaxed);
+        lock(&self.shared.book).ledger.check(Rule::ProcessBounds);
+        let (memory, descriptors) = self.bounds;
+        if holds.memory_kib > memory || holds.descriptors > descriptors {
+            let what = format!(
+                "holds {} KiB and {} descriptors, of {memory} and {descriptors}",
+                holds.memory_kib, holds.descriptors
+            );
+            self.shared.breach(Rule::ProcessBounds, node.name.clone(), what);
+        }
+    }
+
+    async fn tell(self: Arc<Self>, progress: impl Fn(&Progress) + Send + 'static) {
+        let shared = self.shared.clone();
+        shared.clock.sleep_until(shared.timeline().start).await;
+        let mut every = interval(Duration::from_secs(1));
+        every.tick().await;
+        let mut before = Second::default();
+        loop {
+            every.tick().await;
+            let (total, p50, p99) = {
+                let tally = lock(&shared.tally);
+                let at = |share| tally.served.value_at_quantile(share) as f64 / 1000.0;
+                (tally.total(), at(0.5), at(0.99))
+            };
+            let lately = Second {
+                asked: total.asked - before.asked,
+                in_time: total.in_time - before.in_time,
+                late: total.late - before.late,
+                refused: total.refused - before.refused,
+                failed: total.failed - before.failed,
+                worth: total.worth - before.worth,
+                earned: total.earned - before.earned,
+            };
+            before = total;
+            let up = self.servers.iter().filter(|server| server.is_up()).count();
+            let broken = lock(&shared.book).ledger.invariants().iter().map(|rule| rule.broken).sum();
+            let now = Progress {
+                at_s: shared.at_ms(shared.clock.now()) / 1000.0,
+                lately,
+                total,
+                p50_ms: p50,
+                p99_ms: p99,
+                servers: (up, shared.world.servers.len()),
+                nodes: (self.nodes.iter().filter(|node| node.pid().is_some()).count(), self.nodes.len()),
+                lateness_ms: lock(&shared.lateness).value_at_quantile(0.99) as f64 / 1000.0,
+                broken,
+            };
+            shared.event(
+                "second",
+                json!({"asked": lately.asked, "in_time": lately.in_time, "late": lately.late,
+                    "refused": lately.refused, "failed": lately.failed, "servers_up": up,
+                    "p50_ms": p50, "p99_ms": p99}),
+            );
+            progress(&now);
+        }
+    }
+
+    /// Plays the faults as they come due, each in its own task: one that takes its time holds up no other.
+    async fn make_trouble(self: Arc<Self>) {
+        let timeline = self.shared.timeline();
+        let mut due: Vec<(Nanos, usize, bool)> = Vec::new();
+        for (number, step) in timeline.steps.iter().enumerate() {
+            due.push((step.at, number, true));
+            due.extend(step.until.map(|until| (until, number, false)));
+        }
+        for (number, instance) in timeline.instances.iter().enumerate() {
+            // Processes that replace others.
+            if instance.starts > 0 {
+                due.push((instance.starts, usize::MAX - number, true));
+            }
+            due.extend(instance.ends.map(|ends| (ends, usize::MAX - number, false)));
+        }
+        due.sort_unstable();
+        let mut acting = JoinSet::new();
+        for (at, number, begins) in due {
+            self.shared.clock.sleep_until(at).await;
+            let run = self.clone();
+            if number > timeline.steps.len() {
+                let server = &run.servers[usize::MAX - number];
+                if begins {
+                    server.start()
+                } else {
+                    server.kill()
+                }
+                self.shared.event("server", json!({"server": server.uid(), "up": begins}));
+                continue;
+            }
+            let act = timeline.steps[number].act.clone();
+            let kind = if begins { "fault-begins" } else { "fault-ends" };
+            self.shared.event(kind, json!({"fault": format!("{act:?}")}));
+            acting.spawn(async move { run.act(act, begins).await });
+        }
+        while acting.join_next().await.is_some() {}
+    }
+
+    async fn act(self: Arc<Self>, act: Act, begins: bool) {
+        match act {
+            Act::KillNode(node) if begins => {
+                self.harm(node);
+                self.nodes[node].kill().await;
+                sleep(self.front_notice).await;
+                if self.nodes[node].pid().is_none() {
+                    self.callers.places[node].open.store(false, Ordering::Relaxed);
+                }
+            }
+            Act::KillNode(node) | Act::LateNode(node) => self.start_again(node).await,
+            Act::PauseNode(node) => {
+                self.harm(node);
+                let place = &self.callers.places[node];
+                place.paused.store(begins, Ordering::Relaxed);
+                // What came while it was paused is answered late, and that is the pause's doing.
+                if !self.nodes[node].pause(begins) {
+                    self.shared
+                        .event("fault-missed", json!({"node": self.nodes[node].name, "why": "not there"}));
+                }
+            }
+            Act::RestartNode(node) if begins => {
+                let place = &self.callers.places[node];
+                let stopping = async {
+                    if !self.nodes[node].stop().await {
+                        let what = "did not end after SIGTERM, and was killed".to_owned();
+                        self.shared.breach(Rule::ProcessesEnded, self.nodes[node].name.clone(), what);
+                    }
+                };
+                let closing = async {
+                    sleep(STILL_COMES).await;
+                    place.open.store(false, Ordering::Relaxed);
+                };
+                tokio::join!(stopping, closing);
+                self.start_again(node).await;
+            }
+            Act::KillServer(server) => {
+                self.on_server(server, |server| if begins { server.kill() } else { server.start() })
+            }
+            Act::SlowServer(server, factor) => self.ail(server, begins, |ailment| ailment.slower = factor),
+            Act::HangServer(server) => self.ail(server, begins, |ailment| ailment.hangs = true),
+            Act::FailServer(server, share) => self.ail(server, begins, |ailment| ailment.fails = share),
+            Act::BusyServer(server, share) => self.ail(server, begins, |ailment| ailment.taken = share),
+            Act::LoseZone(zone, cold) => {
+                for server in self.servers.iter().filter(|server| self.zone_of(server) == zone) {
+                    if begins {
+                        server.silence(true);
+                    } else if cold && server.is_up() {
+                        server.kill();
+                        server.start();
+                    } else {
+                        server.silence(false);
+                    }
+                }
+            }
+            Act::MoveDiscovery if begins => {
+                for (agent, node) in self.agents.iter().zip(&self.nodes) {
+                    let moved = agent.relocate().map_err(|error| error.to_string());
+                    let told =
+                        moved.and_then(|()| node.reconfigure(agent.at()).map_err(|error| error.to_string()));
+                    if let Err(cause) = told {
+                        self.shared.event("rig-trouble", json!({"node": node.name, "cause": cause}));
+                    }
+                }
+            }
+            Act::Burst(factor) => {
+                self.callers.change(|clients| clients.burst(if begins { factor } else { 1.0 }))
+            }
+            Act::FloodTenant(tenant, factor) => {
+                self.callers.change(|clients| clients.flood(tenant, if begins { factor } else { 1.0 }));
+            }
+            Act::RudeClients(rate) if begins => {
+                let timeline = self.shared.timeline();
+                let now = self.shared.clock.now();
+                let until = timeline.steps.iter().find(|step| step.act == act && step.at <= now);
+                let until = until.and_then(|step| step.until).unwrap_or(Nanos::MAX);
+                let mut peers = JoinSet::new();
+                let mut every = interval(Duration::from_secs_f64(1.0 / rate.max(0.01)));
+                while self.shared.clock.now() < until {
+                    every.tick().await;
+                    peers.spawn(self.callers.clone().rude_peer());
+                }
+                while peers.join_next().await.is_some() {}
+            }
+            _ => {}
+        }
+    }
+
+    fn harm(&self, node: usize) {
+        self.callers.places[node].harms.fetch_add(1, Ordering::Relaxed);
+    }
+
+    async fn start_again(&self, node: usize) {
+        if let Err(error) = self.start_node(node).await {
+            self.shared.breach(Rule::ProcessesEnded, self.nodes[node].name.clone(), error.to_string());
+        }
+    }
+
+    fn zone_of(&self, server: &AppServer) -> u32 {
+        self.shared.timeline().instances[server.instance as usize].zone
+    }
+
+    /// The process that is at a place now.
+    fn on_server(&self, place: usize, then: impl Fn(&AppServer)) {
+        let now = self.shared.clock.now();
+        let timeline = self.shared.timeline();
+        let here = |server: &&Arc<AppServer>| {
+            let instance = timeline.instances[server.instance as usize];
+            instance.server == place && instance.starts <= now && instance.ends.is_none_or(|end| now < end)
+        };
+        match self.servers.iter().find(here) {
+            Some(server) => then(server),
+            None => self.shared.event("fault-missed", json!({"server": place, "why": "not there"})),
+        }
+    }
+
+    fn ail(&self, place: usize, begins: bool, change: impl Fn(&mut Ailment)) {
+        self.on_server(place, |server| {
+            let mut ailment = Ailment::default();
+            if begins {
+                change(&mut ailment);
+            }
+            server.ail(ailment);
+        });
+    }
+}
