Add the command `flaxdale`: up, rig run, list and compare, config check

Nobody could start a node without writing a configuration by hand and finding an app server for it.

Arguments are read by `clap`, temporary folders made by `tempfile`.

--- /dev/null
+++ b/cli/src/check.rs
@@ -0,0 +1,79 @@
+//! `flaxdale config check`: whether a file makes sense, before anything is started with it.
+
+use std::path::Path;
+
+use flaxdale_rig::experiment::{Experiment, On};
+use serde_json::Value;
+
+use crate::Exit;
+use crate::print::{complain, say};
+
+/// Checks a file by what its name says it is.
+pub fn check(file: &Path) -> Exit {
+    let told = match file.extension().and_then(|ending| ending.to_str()) {
+        Some("toml") => experiment(file),
+        Some("json") => node(file),
+        _ => Err(format!(
+            "{}: neither an experiment (.toml) nor a node's configuration (.json)",
+            file.display()
+        )),
+    };
+    match told {
+        Ok(text) => {
+            say(&text);
+            Exit::Well
+        }
+        Err(problem) => {
+            complain(&problem);
+            Exit::Usage
+        }
+    }
+}
+
+fn experiment(file: &Path) -> Result<String, String> {
+    let experiment = Experiment::read(file).map_err(|error| error.to_string())?;
+    let on = if experiment.run.on == On::Virtual { "in virtual time" } else { "on sockets" };
+    Ok(format!(
+        "{}: an experiment of {} s {on}: {} nodes, {} app servers in {} zones, {} faults",
+        file.display(),
+        experiment.run.seconds,
+        experiment.fleet.nodes,
+        experiment.fleet.servers,
+        experiment.fleet.zones.len(),
+        experiment.fault.len()
+    ))
+}
+
+fn node(file: &Path) -> Result<String, String> {
+    let problem = |text: String| format!("{}: {text}", file.display());
+    let text = std::fs::read(file).map_err(|error| problem(error.to_string()))?;
+    // Its own words tell line and column.
+    let config: Value = serde_json::from_slice(&text).map_err(|error| problem(error.to_string()))?;
+    for key in ["name", "listen", "discovery", "seed"] {
+        if !config[key].is_string() {
+            return Err(problem(format!("{key} is missing or no text")));
+        }
+    }
+    for key in ["listen", "discovery"] {
+        let address = config[key].as_str().unwrap_or_default();
+        if address.parse::<std::net::SocketAddr>().is_err() {
+            return Err(problem(format!("{key}: {address:?} is no address such as 127.0.0.1:9000")));
+        }
+    }
+    let seed = config["seed"].as_str().unwrap_or_default();
+    if u64::from_str_radix(seed, 16).is_err() {
+        return Err(problem(format!("seed: {seed:?} is no hexadecimal number of 64 bits")));
+    }
+    if config["limits"]["sockets"].as_u64().is_none_or(|sockets| sockets < 32) {
+        return Err(problem("limits.sockets: 32 or more is wanted".to_owned()));
+    }
+    let site = brookfield_settings::read(&config["settings"]).map_err(problem)?;
+    site.settings.validate().map_err(|error| problem(error.to_string()))?;
+    Ok(format!(
+        "{}: a node's configuration: {} classes, {} zones, {} nodes",
+        file.display(),
+        site.settings.classes.len(),
+        site.settings.zones,
+        site.settings.nodes
+    ))
+}
--- /dev/null
+++ b/cli/src/rig.rs
@@ -0,0 +1,272 @@
+//! `flaxdale rig`: play, list and compare experiments.
+
+use std::path::{Path, PathBuf};
+
+use clap::{Args, Subcommand};
+use flaxdale_rig::compare::{Better, compare};
+use flaxdale_rig::experiment::{Experiment, On};
+use flaxdale_rig::play::{self, Order};
+use flaxdale_rig::report;
+use flaxdale_rig::result::{RunResult, Verdict};
+use flaxdale_rig::sockets::RunError;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::print::{complain, end_live, live, say};
+use crate::{Exit, keeper, node_program};
+
+/// Folders that one experiment's runs may have side by side.
+const MOST_RUNS: u32 = 10_000;
+
+/// Play experiments on real node processes or in virtual time, and compare what they came to.
+#[derive(Subcommand)]
+pub enum Rig {
+    /// Play an experiment; exit code 0 if every rule was kept, 1 if one was broken, 3 if the rig itself was too late
+    Run(Run),
+    /// List the experiments in a folder with their questions
+    List {
+        /// The folder
+        #[arg(default_value = "experiments")]
+        folder: PathBuf,
+    },
+    /// Say which of two runs is better, and how sure that is; exit code 1 if B is worse than A
+    Compare {
+        /// A run's folder, or its result.json
+        a: PathBuf,
+        /// Another one
+        b: PathBuf,
+    },
+}
+
+/// Play an experiment.
+///
+/// Leaves a folder with result.json, events.jsonl, report.html and the logs of each process. Exit codes: 0 every rule
+/// was kept; 1 one was broken; 2 wrong arguments or file, nothing was started; 3 the rig itself was too late for a
+/// verdict; 4 this machine did not give what was needed.
+#[derive(Args)]
+pub struct Run {
+    /// The experiment's file
+    file: PathBuf,
+    /// Seed of everything that is drawn; the experiment's own if absent
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Where the results go; a new folder under rig-runs/ if absent
+    #[arg(long, value_name = "DIR")]
+    out: Option<PathBuf>,
+    /// The node's program; the one beside this program if absent
+    #[arg(long, value_name = "PROGRAM")]
+    node: Option<PathBuf>,
+    /// Print nothing while it runs
+    #[arg(long, short)]
+    quiet: bool,
+}
+
+/// A runtime for a run on sockets.
+pub fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_multi_thread().enable_all().build()
+}
+
+/// Becomes true at Ctrl-C or SIGTERM.
+pub fn told_to_stop() -> Result<watch::Receiver<bool>, RunError> {
+    let heed = |kind| signal(kind).map_err(|source| RunError::Machine { what: "a signal", source });
+    let (mut interrupt, mut terminate) = (heed(SignalKind::interrupt())?, heed(SignalKind::terminate())?);
+    let (tell, told) = watch::channel(false);
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+        tell.send_replace(true);
+        // A second one ends the program at once; the keeper ends what it leaves.
+        tokio::select! {
+            _ = interrupt.recv() => {}
+            _ = terminate.recv() => {}
+        }
+        std::process::exit(130);
+    });
+    Ok(told)
+}
+
+impl Rig {
+    /// Does what was asked.
+    pub fn run(self) -> Exit {
+        match self {
+            Self::Run(run) => run.run(),
+            Self::List { folder } => list(&folder),
+            Self::Compare { a, b } => hold_against(&a, &b),
+        }
+    }
+}
+
+fn name_of(file: &Path) -> String {
+    file.file_stem().map_or_else(|| "experiment".to_owned(), |name| name.to_string_lossy().into_owned())
+}
+
+/// A folder for this run that no other has.
+fn folder_for(out: Option<&PathBuf>, name: &str, seed: u64) -> Result<PathBuf, String> {
+    let tell = |folder: &Path, error: std::io::Error| format!("{}: {error}", folder.display());
+    if let Some(out) = out {
+        std::fs::create_dir_all(out).map_err(|error| tell(out, error))?;
+        let used = std::fs::read_dir(out).map_err(|error| tell(out, error))?.next().is_some();
+        return if used { Err(format!("{}: is not empty", out.display())) } else { Ok(out.clone()) };
+    }
+    let base = PathBuf::from("rig-runs");
+    std::fs::create_dir_all(&base).map_err(|error| tell(&base, error))?;
+    for number in 1..=MOST_RUNS {
+        let folder = base.join(format!("{name}-seed{seed}-{number}"));
+        match std::fs::create_dir(&folder) {
+            Ok(()) => return Ok(folder),
+            Err(error) if error.kind() == std::io::ErrorKind::AlreadyExists => {}
+            Err(error) => return Err(tell(&folder, error)),
+        }
+    }
+    Err(format!("{}: holds too many runs; remove some", base.display()))
+}
+
+impl Run {
+    fn run(self) -> Exit {
+        let usage = |problem: String| {
+            complain(&problem);
+            Exit::Usage
+        };
+        let experiment = match Experiment::read(&self.file) {
+            Ok(experiment) => experiment,
+            Err(problem) => return usage(problem.to_string()),
+        };
+        let on_sockets = experiment.run.on == On::Sockets;
+        let binary = match node_program(self.node.as_ref()) {
+            Ok(binary) => binary,
+            Err(problem) if on_sockets => return usage(problem),
+            Err(_) => PathBuf::new(),
+        };
+        let (name, seed) = (name_of(&self.file), self.seed.unwrap_or(experiment.run.seed));
+        let folder = match folder_for(self.out.as_ref(), &name, seed) {
+            Ok(folder) => folder,
+            Err(problem) => return usage(problem),
+        };
+        let runtime = match runtime() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                complain(&error.to_string());
+                return Exit::Machine;
+            }
+        };
+        if !self.quiet {
+            say(&format!("{name}, seed {seed}: {}", experiment.question));
+        }
+        let order = Order { name, experiment, seed, folder: folder.clone(), binary, keeper: keeper() };
+        let quiet = self.quiet;
+        let played = runtime.block_on(async {
+            let told = told_to_stop()?;
+            play::play(order, told, move |progress| {
+                if !quiet {
+                    live(progress)
+                }
+            })
+            .await
+        });
+        if !quiet && on_sockets {
+            end_live();
+        }
+        match played {
+            Ok(result) => sum_up(&result, &folder),
+            Err(error) => {
+                complain(&error.to_string());
+                match error {
+                    play::PlayError::Run(RunError::Links(_)) => Exit::Usage,
+                    _ => Exit::Machine,
+                }
+            }
+        }
+    }
+}
+
+fn sum_up(result: &RunResult, folder: &Path) -> Exit {
+    let figure = |name: &str| result.measures.get(name).copied().unwrap_or(0.0);
+    say(&format!(
+        "{} requests: {:.2}% in time, {:.2}% refused, {:.2}% failed; p50 {:.0} ms, p99 {:.0} ms",
+        figure("asked"),
+        100.0 * figure("served_in_time_share"),
+        100.0 * figure("refused_share"),
+        100.0 * figure("failed_share"),
+        figure("latency_p50_ms"),
+        figure("latency_p99_ms")
+    ));
+    if result.on == On::Virtual {
+        say(&format!(
+            "{:.1} times real time, {:.0} requests a second of real time",
+            figure("times_real_time"),
+            figure("requests_per_real_s")
+        ));
+    } else {
+        say(&format!("the rig's own lateness: {:.2} ms at the 99th percentile", result.lateness_ms_p99));
+    }
+    for rule in result.invariants.iter().filter(|rule| rule.broken > 0) {
+        complain(&format!("{}: broken {} times of {}", rule.name, rule.broken, rule.checked));
+        for breach in rule.breaches.iter().take(3) {
+            complain(&format!("  {} at {:.0} ms: {}", breach.id, breach.at_ms, breach.what));
+        }
+    }
+    let checked: u64 = result.invariants.iter().map(|rule| rule.checked).sum();
+    let (words, exit) = match result.verdict {
+        Verdict::Kept => (format!("every rule kept, {checked} checks"), Exit::Well),
+        Verdict::Broken => ("a rule was broken".to_owned(), Exit::Broken),
+        Verdict::None => {
+            (format!("no verdict: {}", result.reason.as_deref().unwrap_or("unknown")), Exit::NoVerdict)
+        }
+    };
+    say(&format!("{words}; see {}", folder.join("report.html").display()));
+    exit
+}
+
+fn list(folder: &Path) -> Exit {
+    let files = match std::fs::read_dir(folder) {
+        Ok(files) => files,
+        Err(error) => {
+            complain(&format!("{}: {error}", folder.display()));
+            return Exit::Usage;
+        }
+    };
+    let mut files: Vec<PathBuf> = files
+        .flatten()
+        .map(|file| file.path())
+        .filter(|file| file.extension().is_some_and(|ending| ending == "toml"))
+        .collect();
+    files.sort();
+    let mut exit = Exit::Well;
+    for file in files {
+        match Experiment::read(&file) {
+            Ok(experiment) => {
+                let on = if experiment.run.on == On::Virtual { "virtual" } else { "sockets" };
+                let (name, seconds) = (name_of(&file), experiment.run.seconds);
+                say(&format!("{name:<22}{on:<9}{seconds:>5} s  {}", experiment.question));
+            }
+            Err(problem) => {
+                complain(&problem.to_string());
+                exit = Exit::Usage;
+            }
+        }
+    }
+    exit
+}
+
+fn hold_against(a: &Path, b: &Path) -> Exit {
+    let (a, b) = match (RunResult::read(a), RunResult::read(b)) {
+        (Ok(a), Ok(b)) => (a, b),
+        (Err(error), _) | (_, Err(error)) => {
+            complain(&error.to_string());
+            return Exit::Usage;
+        }
+    };
+    let comparison = compare(&a, &b);
+    say(&format!("A: {} seed {}, version {}", a.experiment, a.seed, a.version));
+    say(&format!("B: {} seed {}, version {}", b.experiment, b.seed, b.version));
+    say(report::lines(&comparison).trim_end());
+    let words = match comparison.better {
+        Better::A => "A is better",
+        Better::B => "B is better",
+        Better::Neither => "neither is better, as far as these two runs tell",
+    };
+    say(&format!("{words}: {}", comparison.because));
+    if comparison.better == Better::A { Exit::Broken } else { Exit::Well }
+}
