Tell the node's address under a log target of its own, whatever else is filtered out

With its filter at `warn` the rig never learned where a node listens: 300 nodes were "not ready after 20 s", with empty logs. The line that tells the address has a target of its own now, which the rig lets through.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -34,6 +34,8 @@
 /// Descriptors of the node's own: the runtime's, the standard streams, the listener, discovery's, the log.
 const OWN: usize = 16;
 
+/// The log's target for the line that tells where the node listens, so that a filter can let it through by itself.
+const STARTED: &str = "badgerpost::started";
 /// Set to `stdin` by a program that starts nodes and must not leave any behind: the node ends with its input.
 const TETHER: &str = "EDGE_TETHER";
 
@@ -120,7 +122,7 @@
     let hangup = signal(SignalKind::hangup())?;
     let listener =
         listen(config.listen).map_err(|source| StartError::Listen { at: config.listen, source })?;
-    tracing::info!(node = config.name, listen = %listener.local_addr()?, "serves");
+    tracing::info!(target: STARTED, node = config.name, listen = %listener.local_addr()?, "serves");
     spawn_local(reconfigure(hangup, discovery));
     spawn_local(watch.run());
     let timers = node.clone();
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -167,7 +167,8 @@
             .env("EDGE_NAME", name)
             .env("EDGE_LISTEN", listen.to_string())
             .env("EDGE_DISCOVERY", discovery.to_string())
-            .env("EDGE_LOG", &self.program.filter)
+            // Whatever else is filtered out, the line that tells its address is not.
+            .env("EDGE_LOG", format!("{},badgerpost::started=info", self.program.filter))
             .env("EDGE_LOG_FORMAT", "json")
             .env("EDGE_TETHER", "stdin")
             .stdin(Stdio::piped())
