--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -30,6 +30,11 @@
     }
 }
 
+/// A label on an axis.
+fn whole(value: &f64) -> String {
+    format!("{value:.0}")
+}
+
 fn faults_over(result: &RunResult, end: f64) -> Vec<(f64, f64)> {
     result.faults.iter().map(|fault| (fault.from_s.min(end), fault.to_s.unwrap_or(end).min(end))).collect()
 }
@@ -42,10 +47,19 @@
         let most = result.seconds.iter().map(|moment| moment.asked).max().unwrap_or(1).max(1) as f64;
         let mut chart = ChartBuilder::on(area)
             .margin(10)
+            .margin_right(34)
             .x_label_area_size(34)
             .y_label_area_size(48)
             .build_cartesian_2d(0.0..end, 0.0..most * 1.05)?;
-        chart.configure_mesh().disable_x_mesh().x_desc("seconds").y_desc("requests due").draw()?;
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .light_line_style(TRANSPARENT)
+            .x_label_formatter(&whole)
+            .y_label_formatter(&whole)
+            .x_desc("seconds")
+            .y_desc("requests due")
+            .draw()?;
         for (from, to) in faults_over(result, end) {
             let shade = RGBColor(120, 120, 120).mix(0.12).filled();
             chart.draw_series([Rectangle::new([(from, 0.0), (to.max(from + 0.1), most * 1.05)], shade)])?;
@@ -83,14 +97,17 @@
         let nines = |share: f64| -(1.0 - share.min(0.99999)).log10();
         let mut chart = ChartBuilder::on(area)
             .margin(10)
+            .margin_right(34)
             .x_label_area_size(34)
             .y_label_area_size(48)
             .build_cartesian_2d(0.0..4.0, 0.0..most * 1.05)?;
         let name = |nines: &f64| format!("{}%", 100.0 - 100.0 / 10f64.powf(*nines));
         chart
             .configure_mesh()
+            .light_line_style(TRANSPARENT)
             .x_labels(5)
             .x_label_formatter(&name)
+            .y_label_formatter(&whole)
             .x_desc("share of the served, from the moment each was due")
             .y_desc("ms")
             .draw()?;
