Show that a broken rule fails a run with the request's id, and take out what nothing uses

Nothing showed that the rig fails a run when a node does wrong: its own tests of the book do, but not that a real process's fault arrives there. A test now pauses a node from outside the rig, which excuses only what it did itself: the run ends with 1, `one_outcome` broken, and the report has the way of the first request through the logs.

Out go a line for scripts that nothing printed, an argument that nothing read, and one of two copies of a check.

--- a/cli/tests/rig.rs
+++ b/cli/tests/rig.rs
@@ -203,6 +203,42 @@
     assert!(happened.iter().all(|event| event["kind"] != "rig-trouble"), "{happened:?}");
 }
 
+/// Somebody else pauses a node: what it took is owed its answers, and the rig excuses only what it did itself.
+#[test]
+fn a_broken_rule_fails_the_run_and_is_told_with_the_request_and_its_way() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().join("out");
+    let text = std::fs::read_to_string(experiment("short-kill")).expect("the experiment");
+    let file = folder.path().join("calm.toml");
+    let calm = text.split("[[fault]]").next().expect("what stands before the faults");
+    std::fs::write(&file, calm).expect("written");
+    let run = {
+        let out = out.clone();
+        std::thread::spawn(move || play(&file, &out, &[]))
+    };
+    // All three listen before the load begins; a line of this one's log tells that requests come.
+    until("requests come to n0", || {
+        std::fs::read_to_string(out.join("logs/n0.log")).is_ok_and(|log| log.contains("request ended"))
+    });
+    let paused = of_folder(&out).into_iter().find(|pid| {
+        words(&std::fs::read(format!("/proc/{pid}/environ")).unwrap_or_default()).contains("EDGE_NAME=n0")
+    });
+    signal(paused.expect("n0"), Signal::STOP);
+    let output = run.join().expect("played");
+    let error = words(&output.stderr);
+    assert_eq!(output.status.code(), Some(1), "{error}");
+    assert!(error.contains("one_outcome: broken"), "{error}");
+    let result = result(&out);
+    assert_eq!(result["verdict"], "broken");
+    let rule =
+        result["invariants"].as_array().expect("rules").iter().find(|rule| rule["name"] == "one_outcome");
+    let id = rule.expect("the rule")["breaches"][0]["id"].as_str().expect("an id").to_owned();
+    let page = std::fs::read_to_string(out.join("report.html")).expect("a report");
+    assert!(page.contains(&format!("The way of {id} through the logs")), "{id}");
+    assert!(events(&out).iter().any(|event| event["kind"] == "node-ended" && event["node"] == "n0"));
+    assert_eq!(of_folder(&out), Vec::<u32>::new());
+}
+
 #[test]
 fn a_file_that_makes_no_sense_is_told_with_line_and_key_and_nothing_starts() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/model/src/shard.rs
+++ b/model/src/shard.rs
@@ -567,7 +567,9 @@
         let number = self.nodes[node as usize].number;
         let cell = spec.cell;
         let drains = self.nodes[node as usize].drains.get(&instance).copied();
-        let Some(open) = self.tries.get_mut(id) else {
+        // What is sent after the answer was given would be out beside nothing that anybody waits for.
+        let live = |open: &&mut Try| !open.ended && open.attempts.len() < 1 << ATTEMPT_BITS;
+        let Some(open) = self.tries.get_mut(id).filter(live) else {
             self.ledger.breach(
                 Rule::OneOutcome,
                 crate::ledger::wire_id(id),
@@ -577,16 +579,6 @@
             return;
         };
         let attempt = open.attempts.len();
-        // What is sent after the answer was given would be out beside nothing that anybody waits for.
-        if open.ended || attempt >= 1 << ATTEMPT_BITS {
-            self.ledger.breach(
-                Rule::OneOutcome,
-                crate::ledger::wire_id(id),
-                now,
-                "sent after its end".into(),
-            );
-            return;
-        }
         let not_after = open.not_after;
         let luck = self.rng.random();
         let id_of_job = job_id(self.zone, id, attempt);
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -11,7 +11,7 @@
 use flaxdale_model::plan::Plan;
 use flaxdale_model::run::{self, Options};
 use flaxdale_model::world::{World, millis, seconds};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::sync::watch;
 
 use crate::experiment::{Experiment, On};
@@ -255,11 +255,3 @@
     ways.iter_mut().for_each(|(_, lines)| lines.sort_by_key(time));
     ways
 }
-
-/// The line of a progress, as JSON for scripts.
-pub fn progress_line(progress: &Progress) -> Value {
-    json!({"at_s": progress.at_s, "asked": progress.lately.asked, "in_time": progress.lately.in_time,
-        "refused": progress.lately.refused, "failed": progress.lately.failed,
-        "p50_ms": progress.p50_ms, "p99_ms": progress.p99_ms, "servers_up": progress.servers.0,
-        "lateness_ms_p99": progress.lateness_ms, "broken": progress.broken})
-}
--- a/rig/src/servers.rs
+++ b/rig/src/servers.rs
@@ -17,7 +17,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rand::RngExt;
 use rand_chacha::ChaCha12Rng;
@@ -237,7 +237,7 @@
         if Limited::new(body, MAX_BODY).collect().await.is_err() {
             return plain(StatusCode::BAD_REQUEST, "the body did not arrive");
         }
-        let (response, way) = self.serve(id, known, fresh, &head.headers).await;
+        let (response, way) = self.serve(id, known, fresh).await;
         self.travel(way).await;
         Ok(response)
     }
@@ -249,13 +249,7 @@
         }
     }
 
-    async fn serve(
-        &self,
-        id: u64,
-        known: Known,
-        fresh: bool,
-        _: &HeaderMap,
-    ) -> (Response<Full<Bytes>>, Nanos) {
+    async fn serve(&self, id: u64, known: Known, fresh: bool) -> (Response<Full<Bytes>>, Nanos) {
         let shared = &self.shared;
         let spec = shared.world.servers[self.place].spec;
         let way = shared.world.way(shared.world.nodes[known.node].zone, spec.zone);
