--- /dev/null
+++ b/model/src/shard/driver.rs
@@ -0,0 +1,315 @@
+//! What a node's driver does between the module and the network, in virtual time.
+
+use super::*;
+
+impl Shard {
+    /// Whether a node can take something now; what comes to a paused one waits for it.
+    pub(super) fn awake(&mut self, node: u32, life: u32, what: impl FnOnce() -> What) -> bool {
+        let known = &mut self.nodes[node as usize];
+        if known.paused && known.life == life {
+            known.inbox.push(what());
+            return false;
+        }
+        known.up && known.life == life
+    }
+
+    pub(super) fn taken(&mut self, id: u64) {
+        let Some(open) = self.tries.get(id) else { return };
+        let (node, life, ask) = (open.node, open.life, open.ask);
+        if !self.awake(node, life, || What::Taken { id }) {
+            return;
+        }
+        let Some(open) = self.tries.get(id).filter(|open| !open.ended) else { return };
+        let arrival = Arrival {
+            request: RequestId(id),
+            class: ClassId(ask.class as u32),
+            hint: None,
+            repeat: false,
+            tenant: ask.tenant.map(|tenant| tenant as u32),
+            not_after: open.not_after,
+        };
+        self.tell(node, Event::Request(arrival));
+    }
+
+    pub(super) fn tell(&mut self, node: u32, event: Event) {
+        if self.common.tick == 0 {
+            self.module.handle(node as usize, self.now, event, &mut self.actions);
+            self.act();
+        } else {
+            self.pending.push((node as usize, event));
+            if !std::mem::replace(&mut self.ticking, true) {
+                let tick = self.common.tick;
+                self.push((self.now / tick + 1) * tick, What::Tick);
+            }
+        }
+    }
+
+    pub(super) fn tick(&mut self) {
+        self.ticking = false;
+        for (node, event) in std::mem::take(&mut self.pending) {
+            if self.nodes[node].up {
+                self.module.handle(node, self.now, event, &mut self.actions);
+            }
+        }
+        match self.module.flush(self.now, &mut self.actions) {
+            Ok(()) => self.act(),
+            Err(problem) => self.failed = Some(problem),
+        }
+    }
+
+    pub(super) fn act(&mut self) {
+        let actions = std::mem::take(&mut self.actions);
+        for (node, action) in &actions {
+            let node = *node as u32;
+            match *action {
+                Action::Send { request, backend, timeout } => self.launch(node, request.0, backend, timeout),
+                Action::Refuse { request, pause } => self.finish(request.0, Answer::Refused, pause),
+                Action::Fail { request } => self.finish(request.0, Answer::Failed, 0),
+                Action::Cancel { request, attempt } => {
+                    self.settle(request.0, attempt as usize, Outcome::Cancelled, None);
+                }
+                Action::Timer { after, token } => {
+                    let (at, life) = (self.now + after, self.nodes[node as usize].life);
+                    self.push(at, What::Timer { node, life, token });
+                }
+                // The list is pushed, no probes are made, and the log is for people.
+                Action::Watch | Action::Fetch | Action::Probe { .. } | Action::Log(_) => {}
+            }
+        }
+        // The buffer is kept, unless what was done led to more.
+        if self.actions.is_empty() {
+            self.actions = actions;
+            self.actions.clear();
+        }
+    }
+
+    pub(super) fn launch(&mut self, node: u32, id: u64, backend: BackendId, timeout: Option<Nanos>) {
+        let now = self.now;
+        let common = self.common.clone();
+        let instance = backend.0;
+        let Some(place) = common.timeline.instances.get(instance as usize) else { return };
+        let (zone, spec) = (place.zone, &common.world.servers[place.server].spec);
+        let number = self.nodes[node as usize].number;
+        let cell = spec.cell;
+        let drains = self.nodes[node as usize].drains.get(&instance).copied();
+        // What is sent after the answer was given would be out beside nothing that anybody waits for.
+        let live = |open: &&mut Try| !open.ended && open.attempts.len() < 1 << ATTEMPT_BITS;
+        let Some(open) = self.tries.get_mut(id).filter(live) else {
+            self.ledger.breach(
+                Rule::OneOutcome,
+                crate::ledger::wire_id(id),
+                now,
+                "sent after its end".into(),
+            );
+            return;
+        };
+        let attempt = open.attempts.len();
+        let not_after = open.not_after;
+        let luck = self.rng.random();
+        let id_of_job = job_id(self.zone, id, attempt);
+        let job = Job {
+            id: id_of_job,
+            from: number as u32,
+            work: open.ask.work,
+            wait: open.ask.wait,
+            not_after,
+            luck,
+        };
+        let booked = self.ledger.arrived(id, instance, cell, drains, now);
+        open.attempts.push(Attempt { instance, sent: now, out: true, written: true, booked });
+        self.tally.attempts += 1;
+        self.tally.crossings += u64::from(zone != self.zone);
+        let give_up = timeout.map_or(not_after, |timeout| not_after.min(now + timeout));
+        self.push(give_up, What::Waited { id, attempt: attempt as u32, connect: false });
+        let life = self.take_idle(node, instance);
+        let mut way = self.way(zone);
+        if life.is_none() {
+            self.tally.connections += 1;
+            way += (HANDSHAKE_WAYS - 1) * common.world.way(self.zone, zone);
+            if let Some(open) = self.tries.get_mut(id) {
+                open.attempts[attempt].written = false;
+            }
+            if now + CONNECT_TIMEOUT < give_up {
+                let what = What::Waited { id, attempt: attempt as u32, connect: true };
+                self.push(now + CONNECT_TIMEOUT, what);
+            }
+        }
+        match common.timeline.link(now, (Party::Node(number), self.zone), (Party::Server(place.server), zone))
+        {
+            Some(LinkTrouble::Cut) => return,
+            Some(LinkTrouble::Delay(more)) => way += more,
+            _ => {}
+        }
+        self.send(zone, now + way, What::Offered(Sent { instance, life, job }));
+    }
+
+    /// An idle connection to this process, if there is one; the youngest, so that those in excess grow old.
+    pub(super) fn take_idle(&mut self, node: u32, instance: u32) -> Option<u64> {
+        let now = self.now;
+        let found = {
+            let idle = &mut self.nodes[node as usize].idle;
+            let at = idle.iter().rposition(|idle| idle.instance == instance && now < idle.since + IDLE);
+            at.map(|at| idle.remove(at).life)
+        };
+        if found.is_none() {
+            self.drop_stale(node);
+        }
+        found
+    }
+
+    pub(super) fn drop_stale(&mut self, node: u32) {
+        let now = self.now;
+        let mut closed = Vec::new();
+        let idle = &mut self.nodes[node as usize].idle;
+        let excess = idle.len().saturating_sub(MOST_IDLE);
+        let mut seen = 0;
+        idle.retain(|idle| {
+            seen += 1;
+            let keep = now < idle.since + IDLE && seen > excess;
+            if !keep {
+                closed.push((idle.instance, idle.life));
+            }
+            keep
+        });
+        for (instance, life) in closed {
+            let zone = self.common.timeline.instances[instance as usize].zone;
+            let way = self.way(zone);
+            self.send(zone, now + way, What::HungUp { instance, life });
+        }
+    }
+
+    pub(super) fn waited(&mut self, id: u64, attempt: u32, connect: bool) {
+        let Some(open) = self.tries.get(id) else { return };
+        let (node, life) = (open.node, open.life);
+        if !self.awake(node, life, || What::Waited { id, attempt, connect }) {
+            return;
+        }
+        let Some(open) = self.tries.get(id).and_then(|open| open.attempts.get(attempt as usize)) else {
+            return;
+        };
+        if !open.out || (connect && open.written) {
+            return;
+        }
+        let silent = !open.written && self.now.saturating_sub(open.sent) >= SILENT;
+        let outcome = match (silent, open.written) {
+            (true, _) => Outcome::ConnectFailed,
+            (false, false) => Outcome::Moot,
+            (false, true) => Outcome::TimedOut,
+        };
+        self.settle(id, attempt as usize, outcome, None);
+    }
+
+    pub(super) fn attempt_ended(
+        &mut self,
+        job: u64,
+        outcome: Outcome,
+        ran: bool,
+        util: Option<f64>,
+        keeps: Option<u64>,
+    ) {
+        let (id, attempt) = of_job(job);
+        let Some(open) = self.tries.get(id) else { return };
+        let (node, life) = (open.node, open.life);
+        if !self.awake(node, life, || What::Ended { job, outcome, ran, util, keeps }) {
+            return;
+        }
+        let Some(open) = self.tries.get_mut(id).and_then(|open| open.attempts.get_mut(attempt)) else {
+            return;
+        };
+        if !open.out {
+            return;
+        }
+        open.written = true;
+        let instance = open.instance;
+        if let Some(life) = keeps {
+            self.nodes[node as usize].idle.push(Idle { instance, life, since: self.now });
+        }
+        self.settle(id, attempt, outcome, util);
+    }
+
+    /// An attempt is over for its node, which closes its connection unless an answer came over it.
+    pub(super) fn settle(&mut self, id: u64, attempt: usize, outcome: Outcome, util: Option<f64>) {
+        let now = self.now;
+        let Some(open) = self.tries.get_mut(id) else { return };
+        let Some(over) = open.attempts.get_mut(attempt).filter(|over| over.out) else { return };
+        over.out = false;
+        let (instance, sent, booked, node) = (over.instance, over.sent, over.booked, open.node);
+        let outcome = if over.written || outcome != Outcome::Cancelled { outcome } else { Outcome::Moot };
+        let given_up = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot)
+            || (outcome == Outcome::ConnectFailed && now.saturating_sub(sent) >= SILENT);
+        if let Some(booked) = booked {
+            self.ledger.ended(id, booked, outcome.may_have_run(), now);
+        }
+        if given_up {
+            let zone = self.common.timeline.instances[instance as usize].zone;
+            let way = self.way(zone);
+            self.send(zone, now + way, What::Withdrawn { instance, job: job_id(self.zone, id, attempt) });
+        }
+        if outcome == Outcome::Served {
+            self.finish(id, Answer::Served, 0);
+        }
+        let ended = self.tries.get(id).is_none_or(|open| open.ended);
+        let settlement = Settlement {
+            request: RequestId(id),
+            attempt: attempt as u32,
+            outcome,
+            elapsed: now.saturating_sub(sent),
+            ended,
+            report: Report { util, ..Report::default() },
+        };
+        self.tell(node, Event::Settled(settlement));
+        self.drop_if_done(id);
+    }
+
+    /// A node gives the final answer, and its client gets it.
+    pub(super) fn finish(&mut self, id: u64, answer: Answer, pause: Nanos) {
+        let Some(open) = self.tries.get_mut(id).filter(|open| !open.ended) else { return };
+        open.ended = true;
+        let (ask, tries) = (open.ask, open.tries);
+        self.ledger.answered(id, answer, self.now);
+        if let Some(open) = self.tries.get_mut(id).filter(|open| !open.told) {
+            open.told = true;
+            self.client_sees(
+                ask,
+                tries,
+                match answer {
+                    Answer::Served => Seen::Served,
+                    Answer::Refused => Seen::Refused(pause),
+                    Answer::Failed => Seen::Failed,
+                },
+            );
+        }
+    }
+
+    /// The client's time is up: it closes its connection, by which its node learns of it.
+    pub(super) fn given_up(&mut self, id: u64) {
+        let Some(open) = self.tries.get_mut(id).filter(|open| !open.told) else { return };
+        open.told = true;
+        let (ask, tries) = (open.ask, open.tries);
+        self.client_sees(ask, tries, Seen::Failed);
+    }
+
+    pub(super) fn close(&mut self, id: u64) {
+        let Some(open) = self.tries.get(id) else {
+            self.ledger.close(id, self.now);
+            return;
+        };
+        let (node, life, ended) = (open.node, open.life, open.ended);
+        self.ledger.close(id, self.now);
+        if !ended {
+            self.tries.get_mut(id).into_iter().for_each(|open| open.ended = true);
+            if self.nodes[node as usize].up && self.nodes[node as usize].life == life {
+                self.tell(node, Event::ClientGone { request: RequestId(id) });
+            }
+        }
+        self.drop_if_done(id);
+    }
+
+    pub(super) fn drop_if_done(&mut self, id: u64) {
+        let done = |open: &Try| open.ended && open.told && open.attempts.iter().all(|attempt| !attempt.out);
+        if self.tries.get(id).is_some_and(done) {
+            self.tries.remove(id);
+            self.ledger.drop_if_done(id);
+        }
+    }
+}
--- /dev/null
+++ b/model/src/shard/servers.rs
@@ -0,0 +1,115 @@
+//! App servers as the network meets them.
+
+use super::*;
+
+impl Shard {
+    pub(super) fn offered(&mut self, sent: Sent) {
+        let now = self.now;
+        let common = self.common.clone();
+        let Sent { instance, job, .. } = sent;
+        let place = common.timeline.instances[instance as usize];
+        let node = job.from;
+        let to = common.world.nodes[node as usize].zone;
+        if self.silent {
+            return;
+        }
+        self.look_after(instance);
+        let Some(server) = self.servers.get_mut(&instance) else { return };
+        let fresh = sent.life != Some(server.epoch());
+        let life = server.epoch();
+        let ends = |outcome, ran, keeps| What::Ended { job: job.id, outcome, ran, util: None, keeps };
+        if fresh && !server.connect(now) {
+            self.answer(place.server, node, to, ends(Outcome::ConnectFailed, false, None));
+            return;
+        }
+        if fresh {
+            self.answer(place.server, node, to, What::Up { job: job.id });
+        }
+        let Some(server) = self.servers.get_mut(&instance) else { return };
+        let fell = server.has_fallen();
+        let cold = server.ramp(now) < 1.0;
+        let offer = server.offer(now, job, fresh);
+        let fallen = server.has_fallen() && !fell;
+        if cold {
+            self.ledger.check(Rule::ColdSpared);
+        }
+        if fallen {
+            self.ledger.fell(&format!("s{}", place.server), now);
+        }
+        match offer {
+            Offer::Taken => {}
+            Offer::Full => self.answer(place.server, node, to, ends(Outcome::Full, false, Some(life))),
+            Offer::Failed => self.answer(place.server, node, to, ends(Outcome::Error, true, Some(life))),
+            Offer::Down => self.answer(place.server, node, to, ends(Outcome::ConnectFailed, false, None)),
+        }
+        self.look_after(instance);
+    }
+
+    pub(super) fn answer(&mut self, server: usize, node: u32, to: u32, what: What) {
+        let mut way = self.way(to);
+        match self.common.timeline.link(
+            self.now,
+            (Party::Server(server), self.zone),
+            (Party::Node(node as usize), to),
+        ) {
+            Some(LinkTrouble::Cut) => return,
+            Some(LinkTrouble::Delay(more)) => way += more,
+            _ => {}
+        }
+        self.send(to, self.now + way, what);
+    }
+
+    /// Lets a server's time pass, sends its answers, and sees to it that it wakes again.
+    pub(super) fn look_after(&mut self, instance: u32) {
+        let now = self.now;
+        let mut ended = std::mem::take(&mut self.ended);
+        let Some(server) = self.servers.get_mut(&instance) else { return };
+        server.advance(now, &mut ended);
+        let life = server.epoch();
+        let reports = server.spec().reporting.is_some();
+        for (job, end) in ended.drain(..) {
+            let (outcome, ran) = match end {
+                End::Served => (Outcome::Served, true),
+                End::Error => (Outcome::Error, true),
+                End::Dropped => (Outcome::Full, false),
+            };
+            let util = if reports {
+                let noise = StandardNormal.sample(&mut self.rng);
+                self.servers.get_mut(&instance).and_then(|server| server.report(now, noise))
+            } else {
+                None
+            };
+            if !self.silent {
+                let what = What::Ended { job: job.id, outcome, ran, util, keeps: Some(life) };
+                self.answer_job(instance, &job, what);
+            }
+        }
+        self.ended = ended;
+        let next = self.servers.get(&instance).and_then(Server::next);
+        if let Some(next) = next
+            && self.wakes.get(&instance).is_none_or(|at| next < *at)
+        {
+            self.wakes.insert(instance, next);
+            self.push(next, What::Wakes { instance });
+        }
+    }
+
+    pub(super) fn answer_job(&mut self, instance: u32, job: &Job, what: What) {
+        let place = self.common.timeline.instances[instance as usize];
+        let to = self.common.world.nodes[job.from as usize].zone;
+        self.answer(place.server, job.from, to, what);
+    }
+
+    /// Connections to a process break as it ends: whoever waits for an answer learns that it will not come.
+    pub(super) fn reset(&mut self, instance: u32, held: Vec<Job>) {
+        self.wakes.remove(&instance);
+        if self.silent {
+            return;
+        }
+        for job in held {
+            let what =
+                What::Ended { job: job.id, outcome: Outcome::Reset, ran: true, util: None, keeps: None };
+            self.answer_job(instance, &job, what);
+        }
+    }
+}
