Let a link fault stand between a node and the list service too

An experiment could name `discovery` as a link's end and was taken for sound, but nothing came of it: only links between nodes and servers were played. On sockets a node's agent is now found through a link of the rig's own where a fault concerns it; in virtual time a node that is cut from the list service is not told until the cut ends.

A new test cuts all nodes off while half of the servers are replaced: without the change the attempts a request are the same as with the list told.

--- a/model/src/shard/mod.rs
+++ b/model/src/shard/mod.rs
@@ -28,7 +28,7 @@
 use crate::plan::Range;
 use crate::server::{Ailment, End, Job, Offer, Server};
 use crate::slab::Slab;
-use crate::timeline::Timeline;
+use crate::timeline::{DISCOVERY, Timeline};
 use crate::world::{Act, LinkTrouble, MS, Party, SECOND, World, stream};
 
 /// How long past a request's time its final answer may come.
--- a/model/src/shard/processes.rs
+++ b/model/src/shard/processes.rs
@@ -61,7 +61,9 @@
         let now = self.now;
         let common = self.common.clone();
         let (silent, late) = common.timeline.discovery(now);
-        if silent {
+        let own = (Party::Node(self.nodes[node as usize].number), self.zone);
+        let cut = common.timeline.link(now, DISCOVERY, own) == Some(LinkTrouble::Cut);
+        if silent || cut {
             let life = self.nodes[node as usize].life;
             self.push(now + SECOND / 4, What::Told { node, life });
             return;
--- a/model/src/timeline.rs
+++ b/model/src/timeline.rs
@@ -10,6 +10,9 @@
 /// The list tells of a new process this much later than of other changes.
 const FIRST_BOOT: Nanos = SECOND / 2;
 
+/// The list service as the end of a link: it is in no zone.
+pub const DISCOVERY: (Party, u32) = (Party::Discovery, u32::MAX);
+
 /// An app server's process: its place, and the number under which the list has it.
 #[derive(Clone, Copy, Debug)]
 pub struct Instance {
--- a/model/tests/virtual_time.rs
+++ b/model/tests/virtual_time.rs
@@ -161,3 +161,15 @@
     let strong = Fault { count: Some(1), factor: Some(Range::only(7.0)), ..fault(Trouble::FailServer) };
     assert_eq!(told(&|plan| plan.faults = vec![strong.clone()]), "fault[0].factor");
 }
+
+/// Nodes that are cut from the list service go on sending to servers that have gone.
+#[test]
+fn a_cut_from_the_list_service_has_its_price() {
+    let replaced = Fault { share: Some(Range::only(0.5)), ..fault(Trouble::ReplaceServer) };
+    let (at_s, for_s) = (Range::only(1.0), None);
+    let (from, to) = (Some("*".into()), Some("discovery".into()));
+    let cut = Fault { at_s, for_s, from, to, ..fault(Trouble::CutLink) };
+    let attempts = |faults| run(&plan(faults), 2).measures()["attempts_per_request"];
+    let (told, untold) = (attempts(vec![replaced.clone()]), attempts(vec![replaced, cut]));
+    assert!(untold > told + 0.01, "{told} attempts a request, {untold} when nobody is told");
+}
--- a/rig/src/agents.rs
+++ b/rig/src/agents.rs
@@ -44,6 +44,7 @@
     endpoints: Endpoints,
     /// Where it listens now; a move changes it.
     at: watch::Sender<SocketAddr>,
+    first_at: SocketAddr,
     /// How many of the timeline's changes have been told to it.
     known: watch::Sender<usize>,
     luck: Mutex<ChaCha12Rng>,
@@ -83,8 +84,9 @@
     pub fn open(shared: Arc<Shared>, node: usize, endpoints: Endpoints) -> std::io::Result<Arc<Self>> {
         let door = Door::open()?;
         let luck = Mutex::new(stream(shared.world.seed, 40_000 + node as u64));
-        let (at, known) = (watch::Sender::new(door.at()), watch::Sender::new(0));
-        let own = Arc::new(Self { node, shared, endpoints, at, known, luck });
+        let (first_at, known) = (door.at(), watch::Sender::new(0));
+        let at = watch::Sender::new(first_at);
+        let own = Arc::new(Self { node, shared, endpoints, at, first_at, known, luck });
         tokio::spawn(own.clone().take_connections(door));
         tokio::spawn(own.clone().hear());
         Ok(own)
@@ -95,6 +97,11 @@
         *self.at.borrow()
     }
 
+    /// Whether it has gone to another address since it was opened.
+    pub fn has_moved(&self) -> bool {
+        self.at() != self.first_at
+    }
+
     /// The list as it stands for a node that starts now.
     pub fn list(&self) -> Value {
         let known = *self.known.borrow();
--- a/rig/src/sockets.rs
+++ b/rig/src/sockets.rs
@@ -1,5 +1,6 @@
 //! An experiment on sockets: real node processes between emulated app servers, agents and clients, with faults.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 use flaxdale_model::measure::Second;
 use flaxdale_model::plan::Range;
 use flaxdale_model::server::Ailment;
-use flaxdale_model::timeline::Timeline;
+use flaxdale_model::timeline::{DISCOVERY, Timeline};
 use flaxdale_model::world::{Act, Party, SECOND, Step, World, millis, seconds, stream};
 use rand::RngExt;
 use serde_json::json;
@@ -25,7 +26,7 @@
 use crate::experiment::Experiment;
 use crate::keeper::Keeper;
 use crate::nodes::{NodeError, NodeProcess, Program};
-use crate::relay::{Link, MOST_LINKS};
+use crate::relay::{End, Link, MOST_LINKS};
 use crate::servers::{AppServer, First};
 use crate::shared::{Shared, lock};
 
@@ -123,6 +124,8 @@
     shared: Arc<Shared>,
     servers: Vec<Arc<AppServer>>,
     agents: Vec<Arc<Agent>>,
+    /// Where each node finds its agent, at the start of the run; a link may stand between.
+    discovery: Vec<SocketAddr>,
     nodes: Vec<Arc<NodeProcess>>,
     callers: Arc<Callers>,
     front_notice: Duration,
@@ -162,7 +165,7 @@
     if touched.len() > MOST_LINKS {
         return Err(RunError::Links(touched.len()));
     }
-    let mut agents = Vec::new();
+    let (mut agents, mut discovery) = (Vec::new(), Vec::new());
     for node in 0..shared.world.nodes.len() {
         let mut endpoints = direct.clone();
         for &(_, instance) in touched.iter().filter(|(of, _)| *of == node) {
@@ -172,7 +175,16 @@
             let link = Link::open(shared.clone(), from, to, direct[instance]);
             endpoints[instance] = link.map_err(machine("a link's port"))?;
         }
-        agents.push(Agent::open(shared.clone(), node, endpoints).map_err(machine("an agent's port"))?);
+        let agent = Agent::open(shared.clone(), node, endpoints).map_err(machine("an agent's port"))?;
+        let own = (Party::Node(node), shared.world.nodes[node].zone);
+        let direct = agent.at();
+        let found = if each_link(&shared).iter().any(|one| one.concerns(own, DISCOVERY)) {
+            Link::open(shared.clone(), own, DISCOVERY, direct).map_err(machine("a link's port"))?
+        } else {
+            direct
+        };
+        discovery.push(found);
+        agents.push(agent);
     }
     let keeper = match stage.keeper {
         Some(command) => Some(Keeper::start(command).map_err(machine("the keeper's process"))?),
@@ -203,6 +215,7 @@
         callers: Callers::new(shared.clone()),
         servers,
         agents,
+        discovery,
         front_notice: Duration::from_secs_f64(notice),
         most_memory: AtomicU64::new(0),
         most_descriptors: AtomicU64::new(0),
@@ -236,21 +249,34 @@
     })
 }
 
+/// One fault on links, alone.
+struct OneLink {
+    at: Nanos,
+    alone: Timeline,
+}
+
+impl OneLink {
+    fn concerns(&self, one: End, other: End) -> bool {
+        self.alone.link(self.at, one, other).or_else(|| self.alone.link(self.at, other, one)).is_some()
+    }
+}
+
+fn each_link(shared: &Shared) -> Vec<OneLink> {
+    let timeline = shared.timeline();
+    let of_links = timeline.steps.iter().filter(|step| matches!(step.act, Act::Link(..)));
+    let alone = |step: &Step| Timeline { steps: vec![step.clone()], ..Timeline::clone(&timeline) };
+    of_links.map(|step| OneLink { at: step.at, alone: alone(step) }).collect()
+}
+
 /// The links between a node and a server's process that any fault concerns.
 fn touched_links(shared: &Shared) -> Vec<(usize, usize)> {
-    let (world, timeline) = (&shared.world, shared.timeline());
-    let alone = |step: &Step| Timeline { steps: vec![step.clone()], ..Timeline::clone(&timeline) };
-    let of_links = timeline.steps.iter().filter(|step| matches!(step.act, Act::Link(..)));
-    let each: Vec<(Nanos, Timeline)> = of_links.map(|step| (step.at, alone(step))).collect();
+    let (world, timeline, each) = (&shared.world, shared.timeline(), each_link(shared));
     let mut touched = Vec::new();
     for (node, info) in world.nodes.iter().enumerate() {
         for (number, instance) in timeline.instances.iter().enumerate() {
             let (from, to) =
                 ((Party::Node(node), info.zone), (Party::Server(instance.server), instance.zone));
-            let concerned = |(at, one): &(Nanos, Timeline)| {
-                one.link(*at, from, to).or_else(|| one.link(*at, to, from)).is_some()
-            };
-            if each.iter().any(concerned) {
+            if each.iter().any(|one| one.concerns(from, to)) {
                 touched.push((node, number));
             }
         }
@@ -286,7 +312,9 @@
     async fn start_node(&self, node: usize) -> Result<(), NodeError> {
         let agent = &self.agents[node];
         lock(&self.shared.drains[node]).clear();
-        self.nodes[node].start(agent.at(), agent.list()).await?;
+        // An agent that has moved is found at its new address, without the link that stood before the old one.
+        let at = if agent.has_moved() { agent.at() } else { self.discovery[node] };
+        self.nodes[node].start(at, agent.list()).await?;
         let place = &self.callers.places[node];
         *lock(&place.at) = self.nodes[node].at();
         place.open.store(true, Ordering::Relaxed);
