Look at each link fault once for a run, and tell an answer's slack in one place

Each node's start-up copied the whole timeline again for every link fault to see whether its list service is concerned: 300 times in a fleet of 300. The faults are prepared once and used for servers and list service alike. The half second by which an answer may be late stood in two files under two names, of which one decides how long a client waits and the other what is called late: apart, a change of one would make the other wrong.

--- a/rig/src/callers.rs
+++ b/rig/src/callers.rs
@@ -27,7 +27,7 @@
 use crate::shared::{Known, Shared, lock};
 
 /// An answer that is later than this, or none, is lost: its node owed one.
-const LOST_AFTER: Nanos = SECOND / 2;
+pub const ANSWER_SLACK: Nanos = SECOND / 2;
 /// Requests that may be on their way at a time: past it the load itself would run this machine out of memory.
 const MOST_OUT: usize = 50_000;
 /// Idle connections that are kept to one node.
@@ -194,7 +194,7 @@
             book.ledger.asked(id, class.effect, class.window, not_after, now);
             book.known.insert(id, Known { node, work: ask.work, wait: ask.wait, not_after });
         }
-        let left = Duration::from_nanos((not_after + LOST_AFTER).saturating_sub(now));
+        let left = Duration::from_nanos((not_after + ANSWER_SLACK).saturating_sub(now));
         let got = timeout(left, self.ask_node(node, ask, id, not_after)).await.unwrap_or(Got::Nothing);
         let came = shared.clock.now();
         let excused = harms() != before || self.places[node].paused.load(Ordering::Relaxed);
--- a/rig/src/sockets.rs
+++ b/rig/src/sockets.rs
@@ -21,7 +21,7 @@
 use tokio::time::{interval, sleep};
 
 use crate::agents::{Agent, Endpoints};
-use crate::callers::Callers;
+use crate::callers::{ANSWER_SLACK, Callers};
 use crate::clock::Clock;
 use crate::experiment::Experiment;
 use crate::keeper::Keeper;
@@ -30,8 +30,6 @@
 use crate::servers::{AppServer, First};
 use crate::shared::{Shared, lock};
 
-/// An answer may come so long after a client's time: until then its node has not lost it.
-const ANSWER_SLACK: Nanos = SECOND / 2;
 /// Nodes that are started at a time.
 const STARTS: usize = 12;
 /// Between the last node's readiness and the first request.
@@ -161,7 +159,8 @@
         servers.push(server.map_err(machine("an app server's port"))?);
     }
     let direct: Endpoints = servers.iter().map(|server| server.at()).collect();
-    let touched = touched_links(&shared);
+    let faulted = each_link(&shared);
+    let touched = touched_links(&shared, &faulted);
     if touched.len() > MOST_LINKS {
         return Err(RunError::Links(touched.len()));
     }
@@ -178,7 +177,7 @@
         let agent = Agent::open(shared.clone(), node, endpoints).map_err(machine("an agent's port"))?;
         let own = (Party::Node(node), shared.world.nodes[node].zone);
         let direct = agent.at();
-        let found = if each_link(&shared).iter().any(|one| one.concerns(own, DISCOVERY)) {
+        let found = if faulted.iter().any(|one| one.concerns(own, DISCOVERY)) {
             Link::open(shared.clone(), own, DISCOVERY, direct).map_err(machine("a link's port"))?
         } else {
             direct
@@ -269,14 +268,14 @@
 }
 
 /// The links between a node and a server's process that any fault concerns.
-fn touched_links(shared: &Shared) -> Vec<(usize, usize)> {
-    let (world, timeline, each) = (&shared.world, shared.timeline(), each_link(shared));
+fn touched_links(shared: &Shared, faulted: &[OneLink]) -> Vec<(usize, usize)> {
+    let (world, timeline) = (&shared.world, shared.timeline());
     let mut touched = Vec::new();
     for (node, info) in world.nodes.iter().enumerate() {
         for (number, instance) in timeline.instances.iter().enumerate() {
             let (from, to) =
                 ((Party::Node(node), info.zone), (Party::Server(instance.server), instance.zone));
-            if each.iter().any(|one| one.concerns(from, to)) {
+            if faulted.iter().any(|one| one.concerns(from, to)) {
                 touched.push((node, number));
             }
         }
