Hold a node's port while the node is down

The rig let each node choose its port at its first start and gave it the same number again later: while the node was down, any program that asked the system for a free port could be given it, and the node's next start failed.

The rig now binds the port by its number, without listening, before the node's first start: the system gives it to nobody who asks for just any port, and the node, which names it, listens beside it.

--- a/rig/src/listener.rs
+++ b/rig/src/listener.rs
@@ -32,8 +32,8 @@
     Shut,
 }
 
-/// A listener whose port was asked for by its number: only such a one is held while nobody listens.
-fn listener() -> io::Result<TcpListener> {
+/// A socket whose port was asked for by its number: only such a one is held while nobody listens.
+fn held<T>(then: impl Fn(TcpSocket) -> io::Result<T>) -> io::Result<T> {
     let mut last = None;
     for _ in 0..TRIES {
         let free = TcpSocket::new_v4()?;
@@ -41,20 +41,35 @@
         let at = free.local_addr()?;
         drop(free);
         let socket = TcpSocket::new_v4()?;
-        // Or it could not listen again beside connections from before.
+        // Or nobody could listen beside it, nor beside connections from before.
         socket.set_reuseaddr(true)?;
-        match socket.bind(at).and_then(|()| socket.listen(BACKLOG as u32)) {
-            Ok(listener) => return Ok(listener),
+        match socket.bind(at).and_then(|()| then(socket)) {
+            Ok(had) => return Ok(had),
             Err(error) => last = Some(error),
         }
     }
     Err(last.unwrap_or_else(|| io::ErrorKind::AddrInUse.into()))
 }
 
+/// A port held for a process that will listen there by its number, and meanwhile nobody else is given it.
+pub struct Port(TcpSocket);
+
+impl Port {
+    /// A port that nobody has.
+    pub fn hold() -> io::Result<Self> {
+        held(|socket| Ok(Self(socket)))
+    }
+
+    /// Its address.
+    pub fn at(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+}
+
 impl Door {
     /// A listener on a port that nobody else has.
     pub fn open() -> io::Result<Self> {
-        let listener = listener()?;
+        let listener = held(|socket| socket.listen(BACKLOG as u32))?;
         Ok(Self {
             at: listener.local_addr()?,
             listener: Some(listener),
@@ -172,4 +187,21 @@
         assert!(other.bind(door.at()).is_err());
         assert!(comes_up(door.at()).await.expect("at once").is_err());
     }
+
+    #[tokio::test]
+    async fn a_port_is_held_for_whoever_listens_there_by_its_number_alone() {
+        let port = Port::hold().expect("a port");
+        let at = port.at().expect("its address");
+        let other = TcpSocket::new_v4().expect("a socket");
+        assert!(other.bind(at).is_err(), "one that just wants a free port is not given it");
+        for _ in 0..2 {
+            let listener = std::net::TcpListener::bind(at).expect("its own process listens");
+            assert!(comes_up(at).await.expect("at once").is_ok());
+            drop(listener);
+            // A process that another test is just starting may have the listener for a moment longer.
+            let refused = async { while comes_up(at).await.is_none_or(|came| came.is_ok()) {} };
+            let in_time = tokio::time::timeout(Duration::from_secs(10), refused).await;
+            assert!(in_time.is_ok(), "refused while nobody listens");
+        }
+    }
 }
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -3,7 +3,7 @@
 
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::keeper::{Keeper, signal};
+use crate::listener::Port;
 use crate::shared::{Shared, lock};
 
 /// How often a node that starts is looked at.
@@ -35,6 +36,14 @@
         /// Why not.
         source: std::io::Error,
     },
+    /// There is no port for it.
+    #[error("{name}: no port: {source}")]
+    Port {
+        /// Its name.
+        name: String,
+        /// Why not.
+        source: std::io::Error,
+    },
     /// Its files can't be written or read.
     #[error("{file}: {source}")]
     File {
@@ -101,6 +110,8 @@
     shared: Arc<Shared>,
     life: Mutex<Option<Life>>,
     at: Mutex<Option<SocketAddr>>,
+    /// Its port is its own also while it is down.
+    port: Mutex<Option<Port>>,
     starts: Mutex<u32>,
 }
 
@@ -119,8 +130,8 @@
     /// A node that has not started yet.
     pub fn new(program: Arc<Program>, shared: Arc<Shared>, number: usize) -> Self {
         let name = shared.world.nodes[number].name.clone();
-        let (life, at, starts) = Default::default();
-        Self { number, name, program, shared, life, at, starts }
+        let (life, at, port, starts) = Default::default();
+        Self { number, name, program, shared, life, at, port, starts }
     }
 
     /// Where it listens, once it has.
@@ -150,7 +161,7 @@
             *starts += 1;
             *starts
         };
-        let listen = self.at().unwrap_or(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)));
+        let listen = self.hold_port().map_err(|source| NodeError::Port { name: name.clone(), source })?;
         let seed = seed_of(&self.shared, self.number, started);
         let config = json!({"name": name, "listen": listen.to_string(), "discovery": discovery.to_string(),
             "seed": format!("{seed:016x}"), "known": known,
@@ -204,6 +215,15 @@
         Ok(())
     }
 
+    /// The address that is its own in all its lives.
+    fn hold_port(&self) -> std::io::Result<SocketAddr> {
+        let mut port = lock(&self.port);
+        match &*port {
+            Some(port) => port.at(),
+            None => port.insert(Port::hold()?).at(),
+        }
+    }
+
     fn still_there(&self, patience: Instant) -> Result<(), NodeError> {
         let ended = lock(&self.life).as_mut().and_then(|life| life.child.try_wait().ok().flatten());
         let (name, tail) = (self.name.clone(), || tail(&self.log()));
