Drop known keyed repeats in the groups, and let every link fault act in virtual time

Emulated servers ran a keyed repeat again, though the protocol's groups drop it within its window: a node that repeats well was charged for work that no real fleet does. In virtual time throttled and reset links and a busy list service did nothing, though the plan took them.

Keys are the model's own state (model/src/keys.rs), used by both drivers: a key is remembered once the work is taken in, for its class's window, and forgotten if that work fails, is dropped before it begins or dies with its process. A throttled link takes 300 bytes a message, a reset one breaks the attempts launched meanwhile, a busy list service turns away its share. What has no meaning without addresses and parsers (a moved list service, rude peers) is refused with the key's line instead of being ignored. The figure repeats_dropped tells how often groups knew a key.

The new cases in the virtual-time tests fail without the change (no repeat known; throttled as fast as calm).

--- /dev/null
+++ b/model/src/keys.rs
@@ -0,0 +1,96 @@
+//! The keys that the members of a group have seen of late. A keyed request that comes again within its window is
+//! answered by whichever member it meets, and not run again: that is what makes its repeats harmless.
+
+use std::collections::HashMap;
+
+use brookfield::Nanos;
+
+/// Old keys are looked for once there are as many, and then each time their number has doubled.
+const SWEPT_FROM: usize = 1024;
+
+/// A key, in its group.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Key {
+    /// The group whose members share what they have seen.
+    pub cell: u64,
+    /// The request's key.
+    pub key: u64,
+}
+
+/// The work that a key stands for: the server's process, and the number under which it holds the job.
+pub type Holder = (u32, u64);
+
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    until: Nanos,
+    by: Holder,
+}
+
+/// What the groups remember. Bounded by the keyed requests of twice the longest window.
+#[derive(Debug, Default)]
+pub struct Keys {
+    seen: HashMap<Key, Seen>,
+    /// Jobs that have not ended yet, with their keys.
+    open: HashMap<Holder, Key>,
+    sweep_at: usize,
+}
+
+impl Keys {
+    /// Whether a request with this key was taken in before and its window is not over.
+    pub fn repeats(&self, key: Key, now: Nanos) -> bool {
+        self.seen.get(&key).is_some_and(|seen| now < seen.until)
+    }
+
+    /// A server has taken the request in: for so long its repeats are dropped.
+    pub fn taken(&mut self, key: Key, by: Holder, window: Nanos, now: Nanos) {
+        if self.seen.len() >= self.sweep_at.max(SWEPT_FROM) {
+            self.seen.retain(|_, seen| now < seen.until);
+            self.sweep_at = 2 * self.seen.len();
+        }
+        self.seen.insert(key, Seen { until: now.saturating_add(window), by });
+        self.open.insert(by, key);
+    }
+
+    /// Its work has ended. One that did not come to its end (it failed, was dropped before it began, or its process
+    /// died) is forgotten, so that a repeat runs.
+    pub fn ended(&mut self, by: Holder, done: bool) {
+        let Some(key) = self.open.remove(&by) else { return };
+        if !done && self.seen.get(&key).is_some_and(|seen| seen.by == by) {
+            self.seen.remove(&key);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const KEY: Key = Key { cell: 1, key: 7 };
+
+    #[test]
+    fn a_repeat_is_known_in_its_group_and_window_and_only_while_its_work_stands() {
+        let mut keys = Keys::default();
+        assert!(!keys.repeats(KEY, 0));
+        keys.taken(KEY, (0, 1), 100, 0);
+        assert!(keys.repeats(KEY, 99), "while it runs too");
+        assert!(!keys.repeats(Key { cell: 2, ..KEY }, 99), "another group has not seen it");
+        keys.ended((0, 1), true);
+        assert!(keys.repeats(KEY, 99));
+        assert!(!keys.repeats(KEY, 100), "its window is over");
+        keys.taken(KEY, (3, 1), 100, 100);
+        keys.ended((0, 1), false);
+        assert!(keys.repeats(KEY, 101), "the end of an earlier job takes nothing from a later one");
+        keys.ended((3, 1), false);
+        assert!(!keys.repeats(KEY, 101), "what failed may run again");
+    }
+
+    #[test]
+    fn what_is_remembered_is_bounded_by_the_windows() {
+        let mut keys = Keys::default();
+        for at in 0..100_000 {
+            keys.taken(Key { cell: 0, key: at }, (0, at), 100, at);
+            keys.ended((0, at), true);
+        }
+        assert!(keys.seen.len() <= SWEPT_FROM && keys.open.is_empty(), "{}", keys.seen.len());
+    }
+}
--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -3,11 +3,12 @@
 //! A model of what flaxdale's nodes serve: app servers, clients, links and their troubles, without sockets or clocks.
 //!
 //! [`plan`] is what a person writes, [`world`] the same with every figure drawn from a seed, [`timeline`] what is known
-//! of it beforehand. [`server`] is one app server, [`clients`] what is asked for and again, [`ledger`] the rules that
+//! of it beforehand. [`server`] is one app server, [`keys`] what a group of them has seen, [`clients`] what is asked for and again, [`ledger`] the rules that
 //! every run checks, [`measure`] what it comes to. These serve two drivers: real processes on sockets, in the rig, and
 //! [`run`], which plays the decision module itself in virtual time.
 
 pub mod clients;
+pub mod keys;
 pub mod ledger;
 pub mod measure;
 pub mod module;
--- a/model/src/measure.rs
+++ b/model/src/measure.rs
@@ -76,6 +76,8 @@
     pub crossings: u64,
     /// Connections that nodes opened.
     pub connections: u64,
+    /// Keyed repeats that a group knew, and answered without running them.
+    pub repeats: u64,
 }
 
 fn histogram() -> Histogram<u64> {
@@ -97,6 +99,7 @@
             attempts: 0,
             crossings: 0,
             connections: 0,
+            repeats: 0,
         }
     }
 
@@ -146,6 +149,7 @@
         self.attempts += other.attempts;
         self.crossings += other.crossings;
         self.connections += other.connections;
+        self.repeats += other.repeats;
     }
 
     /// All seconds together.
@@ -177,6 +181,7 @@
         put("attempts_per_request", self.attempts as f64 / total.asked.max(1) as f64);
         put("crossing_share", share(self.crossings, self.attempts));
         put("connections_per_request", self.connections as f64 / total.asked.max(1) as f64);
+        put("repeats_dropped", self.repeats as f64);
         for (class, counts) in world.classes.iter().zip(&self.classes) {
             put(&format!("worth_share.{}", class.name), counts.earned / counts.worth.max(1e-9));
         }
--- a/model/src/server.rs
+++ b/model/src/server.rs
@@ -347,6 +347,11 @@
         self.connections = self.connections.saturating_sub(1);
     }
 
+    /// Whether a request with this luck would be answered, if it needed no work: so a repeat that its group knows is.
+    pub fn answers(&self, luck: f64) -> bool {
+        self.up && !self.fallen && !self.ailment.hangs && luck >= self.ailment.fails
+    }
+
     /// A request comes in, on a new connection or one that was there.
     pub fn offer(&mut self, now: Nanos, mut job: Job, fresh: bool) -> Offer {
         self.move_to(now);
--- a/model/src/shard/driver.rs
+++ b/model/src/shard/driver.rs
@@ -105,6 +105,11 @@
         };
         let attempt = open.attempts.len();
         let not_after = open.not_after;
+        let ask = open.ask;
+        let class = &common.world.classes[ask.class];
+        // One key for all tries of a client's request; each zone's clients count from 0.
+        let key = u64::from(ask.zone) << (64 - ZONE_BITS) | ask.number;
+        let key = (class.effect == Effect::Keyed).then_some((Key { cell, key }, class.window));
         let luck = self.rng.random();
         let id_of_job = job_id(self.zone, id, attempt);
         let job = Job {
@@ -138,9 +143,16 @@
         {
             Some(LinkTrouble::Cut) => return,
             Some(LinkTrouble::Delay(more)) => way += more,
-            _ => {}
+            Some(LinkTrouble::Throttle(rate)) => way += passes_in(rate),
+            Some(LinkTrouble::Reset(chance)) => {
+                let breaks = now.saturating_add(self.next_reset(chance));
+                if breaks < give_up {
+                    self.push(breaks, What::Broken { id, attempt: attempt as u32 });
+                }
+            }
+            None => {}
         }
-        self.send(zone, now + way, What::Offered(Sent { instance, life, job }));
+        self.send(zone, now + way, What::Offered(Sent { instance, life, job, key }));
     }
 
     /// An idle connection to this process, if there is one; the youngest, so that those in excess grow old.
@@ -178,6 +190,38 @@
         }
     }
 
+    /// When a link that is reset with this chance in a second breaks next.
+    fn next_reset(&mut self, chance: f64) -> Nanos {
+        let rate = -(-chance.min(0.999_999)).ln_1p();
+        let drawn: f64 = rand_distr::Exp1.sample(&mut self.rng);
+        crate::world::seconds((drawn / rate).min(1e6))
+    }
+
+    /// An attempt's connection breaks. Its server learns of it in the same way as of one that was given up.
+    pub(super) fn broken(&mut self, id: u64, attempt: u32) {
+        let Some(open) = self.tries.get(id) else { return };
+        let (node, life) = (open.node, open.life);
+        if !self.awake(node, life, || What::Broken { id, attempt }) {
+            return;
+        }
+        let Some(open) = self.tries.get(id).and_then(|open| open.attempts.get(attempt as usize)) else {
+            return;
+        };
+        if !open.out {
+            return;
+        }
+        let (instance, written) = (open.instance, open.written);
+        // One that never came up for so long is taken for a silent machine's, and withdrawn as such.
+        if written || self.now.saturating_sub(open.sent) < SILENT {
+            let zone = self.common.timeline.instances[instance as usize].zone;
+            let way = self.way(zone);
+            let job = job_id(self.zone, id, attempt as usize);
+            self.send(zone, self.now + way, What::Withdrawn { instance, job });
+        }
+        let outcome = if written { Outcome::Reset } else { Outcome::ConnectFailed };
+        self.settle(id, attempt as usize, outcome, None);
+    }
+
     pub(super) fn waited(&mut self, id: u64, attempt: u32, connect: bool) {
         let Some(open) = self.tries.get(id) else { return };
         let (node, life) = (open.node, open.life);
--- a/model/src/shard/mod.rs
+++ b/model/src/shard/mod.rs
@@ -22,10 +22,11 @@
 use rand_distr::{Distribution, StandardNormal};
 
 use crate::clients::{self, Ask, Clients, Seen};
+use crate::keys::{Key, Keys};
 use crate::ledger::{Answer, Ledger, Limits, Rule};
 use crate::measure::{Fate, Tally};
 use crate::module::Module;
-use crate::plan::Range;
+use crate::plan::{Effect, Range};
 use crate::server::{Ailment, End, Job, Offer, Server};
 use crate::slab::Slab;
 use crate::timeline::{DISCOVERY, Timeline};
@@ -40,6 +41,8 @@
 const CONNECT_TIMEOUT: Nanos = 200 * MS;
 /// One that is not up by then is to a machine that says nothing.
 const SILENT: Nanos = 40 * MS;
+/// Bytes of a request or an answer on a link that lets so many pass in a second.
+const MESSAGE: f64 = 300.0;
 /// Times the way there and back that a new connection takes before its first request is on the way.
 const HANDSHAKE_WAYS: u64 = 4;
 /// How long the front goes on sending to a dead node.
@@ -69,6 +72,8 @@
     /// The process's life that the connection is to; none for a new connection.
     life: Option<u64>,
     job: Job,
+    /// Of a keyed one, its key and for how long its repeats are dropped.
+    key: Option<(Key, Nanos)>,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +88,8 @@
     GivenUp { id: u64 },
     /// A try's account is closed.
     Closed { id: u64 },
+    /// An attempt's connection breaks on its way.
+    Broken { id: u64, attempt: u32 },
     /// An attempt has waited long enough.
     Waited { id: u64, attempt: u32, connect: bool },
     /// A node's timer.
@@ -199,6 +206,8 @@
     nodes: Vec<Node>,
     servers: HashMap<u32, Server>,
     wakes: HashMap<u32, Nanos>,
+    /// What this zone's groups have seen.
+    keys: Keys,
     silent: bool,
     tries: Slab<Try>,
     module: Box<dyn Module>,
@@ -224,6 +233,11 @@
     u64::from(zone) << (64 - ZONE_BITS) | id << ATTEMPT_BITS | attempt as u64
 }
 
+/// How long a message takes over a link that lets so many bytes pass in a second.
+fn passes_in(rate: f64) -> Nanos {
+    crate::world::seconds(MESSAGE / rate.max(1.0))
+}
+
 /// The request and the attempt that a job is of.
 fn of_job(job: u64) -> (u64, usize) {
     ((job << ZONE_BITS) >> (ZONE_BITS + ATTEMPT_BITS), (job & ((1 << ATTEMPT_BITS) - 1)) as usize)
@@ -266,6 +280,7 @@
             nodes,
             servers: HashMap::new(),
             wakes: HashMap::new(),
+            keys: Keys::default(),
             silent: false,
             tries: Slab::default(),
             module,
@@ -374,6 +389,7 @@
             What::Taken { id } => self.taken(id),
             What::GivenUp { id } => self.given_up(id),
             What::Closed { id } => self.close(id),
+            What::Broken { id, attempt } => self.broken(id, attempt),
             What::Waited { id, attempt, connect } => self.waited(id, attempt, connect),
             What::Timer { node, life, token } => {
                 if self.awake(node, life, || What::Timer { node, life, token }) {
@@ -388,7 +404,9 @@
             What::Offered(sent) => self.offered(sent),
             What::Withdrawn { instance, job } => {
                 if let Some(server) = self.servers.get_mut(&instance) {
-                    server.cancel(self.now, job);
+                    if server.cancel(self.now, job) {
+                        self.keys.ended((instance, job), false);
+                    }
                     server.disconnect(self.now);
                 }
                 self.look_after(instance);
--- a/model/src/shard/processes.rs
+++ b/model/src/shard/processes.rs
@@ -63,7 +63,8 @@
         let (silent, late) = common.timeline.discovery(now);
         let own = (Party::Node(self.nodes[node as usize].number), self.zone);
         let cut = common.timeline.link(now, DISCOVERY, own) == Some(LinkTrouble::Cut);
-        if silent || cut {
+        let turned_away = common.timeline.turned_away(now);
+        if silent || cut || (turned_away > 0.0 && self.rng.random::<f64>() < turned_away) {
             let life = self.nodes[node as usize].life;
             self.push(now + SECOND / 4, What::Told { node, life });
             return;
--- a/model/src/shard/servers.rs
+++ b/model/src/shard/servers.rs
@@ -6,7 +6,7 @@
     pub(super) fn offered(&mut self, sent: Sent) {
         let now = self.now;
         let common = self.common.clone();
-        let Sent { instance, job, .. } = sent;
+        let Sent { instance, job, key, .. } = sent;
         let place = common.timeline.instances[instance as usize];
         let node = job.from;
         let to = common.world.nodes[node as usize].zone;
@@ -26,6 +26,14 @@
             self.answer(place.server, node, to, What::Up { job: job.id });
         }
         let Some(server) = self.servers.get_mut(&instance) else { return };
+        if let Some((key, _)) = key
+            && server.answers(job.luck)
+            && self.keys.repeats(key, now)
+        {
+            self.tally.repeats += 1;
+            self.answer(place.server, node, to, ends(Outcome::Served, true, Some(life)));
+            return;
+        }
         let fell = server.has_fallen();
         let cold = server.ramp(now) < 1.0;
         let offer = server.offer(now, job, fresh);
@@ -37,7 +45,11 @@
             self.ledger.fell(&format!("s{}", place.server), now);
         }
         match offer {
-            Offer::Taken => {}
+            Offer::Taken => {
+                if let Some((key, window)) = key {
+                    self.keys.taken(key, (instance, job.id), window, now);
+                }
+            }
             Offer::Full => self.answer(place.server, node, to, ends(Outcome::Full, false, Some(life))),
             Offer::Failed => self.answer(place.server, node, to, ends(Outcome::Error, true, Some(life))),
             Offer::Down => self.answer(place.server, node, to, ends(Outcome::ConnectFailed, false, None)),
@@ -54,7 +66,8 @@
         ) {
             Some(LinkTrouble::Cut) => return,
             Some(LinkTrouble::Delay(more)) => way += more,
-            _ => {}
+            Some(LinkTrouble::Throttle(rate)) => way += passes_in(rate),
+            Some(LinkTrouble::Reset(_)) | None => {}
         }
         self.send(to, self.now + way, what);
     }
@@ -68,6 +81,7 @@
         let life = server.epoch();
         let reports = server.spec().reporting.is_some();
         for (job, end) in ended.drain(..) {
+            self.keys.ended((instance, job.id), end == End::Served);
             let (outcome, ran) = match end {
                 End::Served => (Outcome::Served, true),
                 End::Error => (Outcome::Error, true),
@@ -103,6 +117,7 @@
     /// Connections to a process break as it ends: whoever waits for an answer learns that it will not come.
     pub(super) fn reset(&mut self, instance: u32, held: Vec<Job>) {
         self.wakes.remove(&instance);
+        held.iter().for_each(|job| self.keys.ended((instance, job.id), false));
         if self.silent {
             return;
         }
--- a/model/src/timeline.rs
+++ b/model/src/timeline.rs
@@ -170,6 +170,17 @@
         found
     }
 
+    /// The share of calls that the list service turns away now.
+    pub fn turned_away(&self, now: Nanos) -> f64 {
+        let share = |step: &Step| match step.act {
+            Act::BusyDiscovery(share) if step.at <= now && step.until.is_none_or(|until| now < until) => {
+                share
+            }
+            _ => 0.0,
+        };
+        self.steps.iter().map(share).fold(0.0, f64::max)
+    }
+
     /// Whether the list service is silent now, and how much later than usual it tells.
     pub fn discovery(&self, now: Nanos) -> (bool, Nanos) {
         let mut told = (false, 0);
--- a/model/tests/virtual_time.rs
+++ b/model/tests/virtual_time.rs
@@ -1,7 +1,7 @@
 //! A whole fleet in virtual time, on this build's own decisions.
 
 use flaxdale_model::ledger::Invariant;
-use flaxdale_model::plan::{Fault, Plan, Range, Trouble};
+use flaxdale_model::plan::{Effect, Fault, Plan, Range, Trouble};
 use flaxdale_model::run::{Options, Played, play};
 use flaxdale_model::world::{MS, SECOND, World};
 
@@ -98,6 +98,12 @@
         vec![link(Trouble::CutLink, None)],
         vec![Fault { one_way: true, ..link(Trouble::CutLink, None) }],
         vec![link(Trouble::DelayLink, Some(40.0))],
+        vec![link(Trouble::ThrottleLink, Some(10.0))],
+        vec![link(Trouble::ResetLink, Some(0.9))],
+        vec![
+            Fault { factor: Some(Range::only(0.8)), ..fault(Trouble::BusyDiscovery) },
+            servers(Trouble::ReplaceServer, None),
+        ],
         vec![fault(Trouble::SilentDiscovery), servers(Trouble::ReplaceServer, None)],
         vec![Fault { factor: Some(Range::only(1.8)), ..fault(Trouble::Burst) }],
     ];
@@ -173,3 +179,42 @@
     let (told, untold) = (attempts(vec![replaced.clone()]), attempts(vec![replaced, cut]));
     assert!(untold > told + 0.01, "{told} attempts a request, {untold} when nobody is told");
 }
+
+fn between_all(what: Trouble, factor: f64) -> Plan {
+    let mut plan = plan(vec![Fault {
+        from: Some("*".into()),
+        to: Some("*".into()),
+        factor: Some(Range::only(factor)),
+        ..fault(what)
+    }]);
+    plan.fleet.zones.truncate(1);
+    plan
+}
+
+#[test]
+fn a_throttled_link_takes_longer_and_a_reset_one_breaks_attempts() {
+    let calm = run(&between_all(Trouble::DelayLink, 0.0), 4).measures();
+    // 300 bytes there and 300 back, at 10 kB a second: 60 ms more for nearly a third of the run.
+    let throttled = run(&between_all(Trouble::ThrottleLink, 10.0), 4).measures();
+    let longer = throttled["latency_p99_ms"] - calm["latency_p99_ms"];
+    assert!(longer > 30.0, "{longer} ms longer");
+    let reset = run(&between_all(Trouble::ResetLink, 0.9), 4);
+    assert_eq!(broken(&reset), Vec::<&Invariant>::new());
+    let failed = |figures: &std::collections::BTreeMap<String, f64>| figures["served_in_time_share"];
+    assert!(failed(&reset.measures()) < failed(&calm) - 0.005, "{calm:?} {:?}", reset.measures());
+}
+
+#[test]
+fn a_keyed_repeat_in_its_window_costs_its_group_nothing() {
+    // Connections break while work goes on: its repeat, in the group and the window, finds it known.
+    let with = |class: fn(&mut flaxdale_model::plan::Class)| {
+        let mut plan = between_all(Trouble::ResetLink, 0.9).with_usual();
+        plan.classes.iter_mut().for_each(class);
+        let played = run(&plan, 6);
+        assert_eq!(broken(&played), Vec::<&Invariant>::new());
+        played.measures()["repeats_dropped"]
+    };
+    assert!(with(|_| {}) > 0.0, "some repeats are known");
+    assert_eq!(with(|class| class.effect = Effect::Repeatable), 0.0, "and only keyed ones");
+    assert_eq!(with(|class| class.window_ms = 0.0), 0.0, "and in their window only");
+}
--- a/rig/src/callers.rs
+++ b/rig/src/callers.rs
@@ -192,7 +192,8 @@
         {
             let mut book = lock(&shared.book);
             book.ledger.asked(id, class.effect, class.window, not_after, now);
-            book.known.insert(id, Known { node, work: ask.work, wait: ask.wait, not_after });
+            let key = (class.effect == Effect::Keyed).then_some((ask.number, class.window));
+            book.known.insert(id, Known { node, work: ask.work, wait: ask.wait, not_after, key });
         }
         let left = Duration::from_nanos((not_after + ANSWER_SLACK).saturating_sub(now));
         let got = timeout(left, self.ask_node(node, ask, id, not_after)).await.unwrap_or(Got::Nothing);
--- a/rig/src/experiment.rs
+++ b/rig/src/experiment.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use flaxdale_model::plan::{
-    Class, Discovery, Fault, Fleet, Kind, Load, MOST_SECONDS, Network, Plan, Rules, Tenant,
+    Class, Discovery, Fault, Fleet, Kind, Load, MOST_SECONDS, Network, Plan, Rules, Tenant, Trouble,
 };
 use serde::{Deserialize, Serialize};
 use toml::de::{DeTable, DeValue};
@@ -202,6 +202,12 @@
         if !(0.0..=1000.0).contains(&run.tick_ms) {
             return problem("run.tick_ms", "0 to 1000 is wanted".into());
         }
+        for (number, fault) in self.fault.iter().enumerate() {
+            if run.on == On::Virtual && matches!(fault.what, Trouble::MoveDiscovery | Trouble::RudeClients) {
+                let text = "virtual time has neither addresses nor parsers: play it on sockets".to_owned();
+                return problem(&format!("fault[{number}].what"), text);
+            }
+        }
         self.plan().check()
     }
 }
--- a/rig/src/servers.rs
+++ b/rig/src/servers.rs
@@ -10,6 +10,7 @@
 
 use brookfield::Nanos;
 use bytes::Bytes;
+use flaxdale_model::keys::Key;
 use flaxdale_model::ledger::Rule;
 use flaxdale_model::server::{Ailment, End, Job, Offer, Server};
 use flaxdale_model::world::{MS, stream};
@@ -111,17 +112,25 @@
 
     /// Its process dies: connections break, new ones are refused.
     pub fn kill(&self) {
-        lock(&self.inside).server.stop(self.shared.clock.now());
+        let held = lock(&self.inside).server.stop(self.shared.clock.now());
+        self.lost(&held);
         lock(&self.inside).waiting.clear();
         self.machine.send_replace(Machine::Down);
     }
 
     /// A process starts, cold.
     pub fn start(&self) {
-        lock(&self.inside).server.start(self.shared.clock.now(), true);
+        let held = lock(&self.inside).server.start(self.shared.clock.now(), true);
+        self.lost(&held);
         self.machine.send_replace(Machine::Up);
     }
 
+    /// What a process held is forgotten with it, and may run again elsewhere in its group.
+    fn lost(&self, held: &[Job]) {
+        let keys = &mut lock(&self.shared.book).keys;
+        held.iter().for_each(|job| keys.ended((self.instance, job.id), false));
+    }
+
     /// Its machine says nothing more, or speaks again; what was open meets a reset then.
     pub fn silence(&self, silent: bool) {
         let change = |machine: &mut Machine| {
@@ -260,17 +269,32 @@
         let mut out = Out { of: self, id, booked, job, ran: true };
         self.travel(if fresh { 4 * way } else { way }).await;
         let (end, answer) = oneshot::channel();
-        let offer = {
+        let (offer, repeat) = {
             let now = shared.clock.now();
             let mut inside = lock(&self.inside);
             let (fell, cold) = (inside.server.has_fallen(), inside.server.ramp(now) < 1.0);
             let luck = inside.luck.random();
-            let Known { work, wait, not_after, .. } = known;
-            let offer =
-                inside.server.offer(now, Job { id: job, from: 0, work, wait, not_after, luck }, fresh);
-            if offer == Offer::Taken {
-                inside.waiting.insert(job, end);
+            let Known { work, wait, not_after, key, .. } = known;
+            let key = key.map(|(key, window)| (Key { cell: spec.cell, key }, window));
+            let mut book = lock(&shared.book);
+            let repeat =
+                inside.server.answers(luck) && key.is_some_and(|(key, _)| book.keys.repeats(key, now));
+            let offer = if repeat {
+                Offer::Taken
+            } else {
+                inside.server.offer(now, Job { id: job, from: 0, work, wait, not_after, luck }, fresh)
+            };
+            match key {
+                _ if offer != Offer::Taken => {}
+                // Its group has it already: it is answered, and not run again.
+                _ if repeat => drop(end.send(End::Served)),
+                Some((key, window)) => {
+                    book.keys.taken(key, (self.instance, job), window, now);
+                    inside.waiting.insert(job, end);
+                }
+                None => drop(inside.waiting.insert(job, end)),
             }
+            drop(book);
             let pushed_over = inside.server.has_fallen() && !fell;
             drop(inside);
             if cold {
@@ -280,8 +304,11 @@
                 shared.breach(Rule::ColdSpared, self.uid(), "pushed over while cold".to_owned());
                 self.machine.send_replace(Machine::Down);
             }
-            offer
+            (offer, repeat)
         };
+        if repeat {
+            lock(&shared.tally).repeats += 1;
+        }
         self.wake.notify_one();
         let end = match offer {
             Offer::Taken => answer.await.ok(),
@@ -331,7 +358,9 @@
             }
             let mut inside = lock(&self.inside);
             inside.server.advance(self.shared.clock.now(), &mut ended);
+            let mut book = lock(&self.shared.book);
             for (job, end) in ended.drain(..) {
+                book.keys.ended((self.instance, job.id), end == End::Served);
                 if let Some(waiting) = inside.waiting.remove(&job.id) {
                     // Whoever waited may have gone in this very moment.
                     let _ = waiting.send(end);
@@ -361,7 +390,11 @@
         let dropped = {
             let mut inside = lock(&self.of.inside);
             // Still waited for: the connection ended first.
-            inside.waiting.remove(&self.job).is_some() && inside.server.cancel(now, self.job)
+            let dropped = inside.waiting.remove(&self.job).is_some() && inside.server.cancel(now, self.job);
+            if dropped {
+                lock(&self.of.shared.book).keys.ended((self.of.instance, self.job), false);
+            }
+            dropped
         };
         if let Some(booked) = self.booked {
             lock(&self.of.shared.book).ledger.ended(self.id, booked, self.ran && !dropped, now);
--- a/rig/src/shared.rs
+++ b/rig/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use brookfield::Nanos;
+use flaxdale_model::keys::Keys;
 use flaxdale_model::ledger::{Ledger, Rule};
 use flaxdale_model::measure::Tally;
 use flaxdale_model::timeline::Timeline;
@@ -33,6 +34,8 @@
     pub wait: Nanos,
     /// When its client gives up.
     pub not_after: Nanos,
+    /// Of a keyed one, its key and for how long its repeats are dropped.
+    pub key: Option<(u64, Nanos)>,
 }
 
 /// The rules' book, with what the servers have to know of each request.
@@ -41,6 +44,8 @@
     pub ledger: Ledger,
     /// The requests of late, by id.
     pub known: HashMap<u64, Known>,
+    /// What the groups of servers have seen.
+    pub keys: Keys,
 }
 
 /// What the parties share.
@@ -72,7 +77,7 @@
         Self {
             world,
             clock,
-            book: Mutex::new(Book { ledger, known: HashMap::new() }),
+            book: Mutex::new(Book { ledger, known: HashMap::new(), keys: Keys::default() }),
             tally: Mutex::new(tally),
             lateness: Mutex::new(lateness),
             drains: world_nodes,
