--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -3,7 +3,9 @@
 //! exit code that a script can use.
 
 mod check;
+mod log;
 mod print;
+mod registry;
 mod rig;
 mod up;
 
@@ -11,6 +13,7 @@
 use std::process::{Command, ExitCode};
 
 use clap::{Parser, Subcommand};
+use tracing_subscriber::filter::LevelFilter;
 
 /// A load balancer for fleets of app servers, with a rig to try it on.
 ///
@@ -30,6 +33,9 @@
     /// Play experiments on real node processes or in virtual time, and compare what they came to
     #[command(subcommand)]
     Rig(rig::Rig),
+    /// Keep the list of app servers, in one replica or several, and ask them
+    #[command(subcommand)]
+    Registry(registry::Registry),
     /// Check files
     #[command(subcommand)]
     Config(Config),
@@ -84,6 +90,15 @@
     }
 }
 
+/// As many descriptors as the system lets this process have: a watcher, a link and a client hold one each.
+fn more_descriptors() {
+    use rustix::process::{Resource, getrlimit, setrlimit};
+    let mut limit = getrlimit(Resource::Nofile);
+    limit.current = limit.maximum;
+    // What is not given is not promised either: connections beyond it are turned away.
+    let _ = setrlimit(Resource::Nofile, limit);
+}
+
 /// This program, asked to keep.
 pub fn keeper() -> Option<Command> {
     let mut command = Command::new(std::env::current_exe().ok()?);
@@ -93,14 +108,13 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    tracing_subscriber::fmt()
-        .with_writer(std::io::stderr)
-        .with_ansi(false)
-        .with_max_level(tracing::Level::WARN)
-        .init();
+    let serves = matches!(&arguments.command, Task::Registry(registry) if registry.serves());
+    log::start(if serves { LevelFilter::INFO } else { LevelFilter::WARN });
+    more_descriptors();
     let exit = match arguments.command {
         Task::Up(up) => up.run(),
         Task::Rig(rig) => rig.run(),
+        Task::Registry(registry) => registry.run(),
         Task::Config(Config::Check { file }) => check::check(&file),
         Task::Keeper => {
             flaxdale_rig::keeper::keep(std::io::stdin().lock());
--- /dev/null
+++ b/fleet/src/call.rs
@@ -0,0 +1,144 @@
+//! One HTTP call after the other over a connection that is kept while it lasts. Time and size are bounded; a call that is
+//! given up takes its connection with it, so that no late answer is taken for the next call's.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::header::{HOST, HeaderMap};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// A connection that is not up by then does not come up.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Why a call brought no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No connection: the call was not made.
+    #[error("no connection: {0}")]
+    Connect(std::io::Error),
+    /// It broke; it may have been carried out.
+    #[error("the call broke: {0}")]
+    Broken(#[from] hyper::Error),
+    /// Its answer broke, or was too long.
+    #[error("the answer broke or was too long: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// No answer in time; it may have been carried out.
+    #[error("no answer in time")]
+    Late,
+    /// What was asked can't be asked.
+    #[error("no such request: {0}")]
+    Request(#[from] hyper::http::Error),
+}
+
+/// What is asked.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// GET where there is no body, else POST.
+    pub body: Option<Bytes>,
+    /// Path and query.
+    pub target: String,
+    /// Further headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// It takes no longer.
+    pub patience: Duration,
+    /// Bytes that the answer may have.
+    pub most: usize,
+}
+
+impl Call {
+    /// A GET.
+    pub fn get(target: impl Into<String>, patience: Duration, most: usize) -> Self {
+        Self { body: None, target: target.into(), headers: Vec::new(), patience, most }
+    }
+
+    /// A POST.
+    pub fn post(target: impl Into<String>, body: Vec<u8>, patience: Duration, most: usize) -> Self {
+        Self { body: Some(body.into()), ..Self::get(target, patience, most) }
+    }
+}
+
+/// What came back.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Where calls go, with the connection that is open to there.
+pub struct Link {
+    at: SocketAddr,
+    open: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Link {
+    /// No connection yet.
+    pub fn to(at: SocketAddr) -> Self {
+        Self { at, open: None }
+    }
+
+    /// Where calls go.
+    pub fn at(&self) -> SocketAddr {
+        self.at
+    }
+
+    /// Makes a call. It goes out at most once: a connection that had been closed meanwhile is noticed before.
+    pub async fn call(&mut self, call: &Call) -> Result<Answer, CallError> {
+        // Taken, so that it goes with a call that is dropped half way.
+        let open = self.open.take().filter(|open| !open.is_closed());
+        let (open, answer) =
+            timeout(call.patience, self.carry(open, call)).await.map_err(|_| CallError::Late)??;
+        self.open = Some(open);
+        Ok(answer)
+    }
+
+    async fn carry(
+        &self,
+        open: Option<SendRequest<Full<Bytes>>>,
+        call: &Call,
+    ) -> Result<(SendRequest<Full<Bytes>>, Answer), CallError> {
+        let kept = match open {
+            Some(mut kept) => kept.ready().await.is_ok().then_some(kept),
+            None => None,
+        };
+        let mut open = match kept {
+            Some(kept) => kept,
+            None => self.connect().await?,
+        };
+        open.ready().await?;
+        let method = if call.body.is_some() { Method::POST } else { Method::GET };
+        let mut request =
+            Request::builder().method(method).uri(call.target.as_str()).header(HOST, self.at.to_string());
+        for (name, value) in &call.headers {
+            request = request.header(*name, value);
+        }
+        let request = request.body(Full::new(call.body.clone().unwrap_or_default()))?;
+        let (head, body) = open.send_request(request).await?.into_parts();
+        let body = Limited::new(body, call.most).collect().await.map_err(CallError::Body)?.to_bytes();
+        Ok((open, Answer { status: head.status, headers: head.headers, body }))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, CallError> {
+        let late = |_| CallError::Connect(std::io::ErrorKind::TimedOut.into());
+        let stream = timeout(CONNECT, TcpStream::connect(self.at)).await.map_err(late)?;
+        let stream = stream.map_err(CallError::Connect)?;
+        // Some systems refuse the option on a connection that has just gone; the call will show it.
+        let _ = stream.set_nodelay(true);
+        let (open, connection) = handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                tracing::debug!(cause = %error, "the connection broke");
+            }
+        });
+        Ok(open)
+    }
+}
--- /dev/null
+++ b/fleet/src/file.rs
@@ -0,0 +1,142 @@
+//! The fleet file: TOML, checked whole before anything is taken from it. A problem is told with its file, line and key.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// A file larger than this is none.
+const MOST_BYTES: u64 = 1024 * 1024;
+/// Replicas of one registry at most.
+pub const MOST_REPLICAS: usize = 9;
+
+/// What a process is told of its fleet.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fleet {
+    /// The registry, if it has one.
+    pub registry: Option<Registry>,
+}
+
+/// Where the registry is.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Registry {
+    /// Its replicas' addresses for clients, in any order.
+    pub addresses: Vec<SocketAddr>,
+}
+
+/// Why a file is not taken.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FileError {
+    /// The file.
+    pub file: PathBuf,
+    /// The line, from 1, where one is at fault.
+    pub line: Option<usize>,
+    /// What is wrong, with the key, and what would be right.
+    pub text: String,
+}
+
+impl fmt::Display for FileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "{}:{line}: {}", self.file.display(), self.text),
+            None => write!(f, "{}: {}", self.file.display(), self.text),
+        }
+    }
+}
+
+impl std::error::Error for FileError {}
+
+/// What makes no sense in a file, by its key.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Problem {
+    /// The key, as `registry.addresses`.
+    pub key: &'static str,
+    /// What would be right.
+    pub text: String,
+}
+
+/// Reads a TOML file of any type, and checks what it holds.
+pub fn read<T: DeserializeOwned>(
+    file: &Path,
+    check: impl FnOnce(&T) -> Result<(), Problem>,
+) -> Result<T, FileError> {
+    let fail = |line: Option<usize>, text: String| FileError { file: file.to_owned(), line, text };
+    let size = std::fs::metadata(file).map_err(|error| fail(None, error.to_string()))?.len();
+    if size > MOST_BYTES {
+        return Err(fail(None, format!("{size} bytes are too many; {MOST_BYTES} at most")));
+    }
+    let text = std::fs::read_to_string(file).map_err(|error| fail(None, error.to_string()))?;
+    let line_of = |at: usize| text.as_bytes().iter().take(at).filter(|byte| **byte == b'\n').count() + 1;
+    let parsed: T = toml::from_str(&text)
+        .map_err(|error| fail(error.span().map(|span| line_of(span.start)), error.message().to_owned()))?;
+    check(&parsed).map_err(|problem| {
+        let last = problem.key.rsplit('.').next().unwrap_or(problem.key);
+        let holds_key = |line: &str| {
+            line.split_once('=').is_some_and(|(key, _)| key.trim() == last)
+                || line.trim_matches(['[', ']', ' ']) == problem.key
+        };
+        let line = text.lines().position(holds_key).map(|at| at + 1);
+        fail(line, format!("{}: {}", problem.key, problem.text))
+    })?;
+    Ok(parsed)
+}
+
+impl Fleet {
+    /// Reads and checks a fleet file.
+    pub fn read(file: &Path) -> Result<Self, FileError> {
+        read(file, Self::check)
+    }
+
+    /// Whether it makes sense.
+    pub fn check(&self) -> Result<(), Problem> {
+        let Some(registry) = &self.registry else { return Ok(()) };
+        let problem = |text: String| Err(Problem { key: "registry.addresses", text });
+        let addresses = &registry.addresses;
+        if addresses.is_empty() || addresses.len() > MOST_REPLICAS {
+            return problem(format!("1 to {MOST_REPLICAS} addresses are wanted"));
+        }
+        let twice = addresses.iter().enumerate().find(|(at, one)| addresses[..*at].contains(one));
+        twice.map_or(Ok(()), |(_, one)| problem(format!("{one} stands there twice")))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn told(text: &str) -> Result<Fleet, String> {
+        let file = std::env::temp_dir().join(format!("fleet-{}-{:x}.toml", std::process::id(), text.len()));
+        std::fs::write(&file, text).expect("a file");
+        let read = Fleet::read(&file);
+        std::fs::remove_file(&file).expect("removed");
+        let name = format!("{}:", file.display());
+        read.map_err(|error| error.to_string().replace(&name, ""))
+    }
+
+    #[test]
+    fn a_fleet_file_is_read_and_its_problems_are_told_with_line_and_key() {
+        let fleet =
+            told("[registry]\naddresses = [\"127.0.0.1:7200\", \"127.0.0.1:7201\"]\n").expect("taken");
+        assert_eq!(fleet.registry.expect("a registry").addresses.len(), 2);
+        assert_eq!(told(""), Ok(Fleet::default()));
+        let wrong = [
+            ("[registry]\naddresses = []\n", "2: registry.addresses: 1 to 9"),
+            ("[registry]\n\naddresses = [\"a.b:1\", \"a.b:1\"]", "3: "),
+            (
+                "[registry]\naddresses = [\"127.0.0.1:1\",\"127.0.0.1:1\"]",
+                "2: registry.addresses: 127.0.0.1:1 stands",
+            ),
+            ("[registry]\nadresses = []\n", "2: unknown field `adresses`"),
+            ("\n[regisry]\n", "2: unknown field `regisry`"),
+            ("[registry", "1: "),
+        ];
+        for (text, problem) in wrong {
+            let told = told(text).expect_err(text);
+            assert!(told.starts_with(problem), "{text}: {told}");
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/follow.rs
@@ -0,0 +1,336 @@
+//! A client of the registry as a state machine: which replica it asks for what, and when; and what it makes of the answer.
+//! Time and luck are arguments.
+//!
+//! It has one version of the list, which never steps back, whichever replica it asks. While no replica answers, what it
+//! has stands, with its age. A new incarnation of the registry (a restore, or a new start from nothing) may not know
+//! yet who is in service: what it lists counts, and those that it does not list stay for [`Rules::settle`], in which
+//! they register again.
+
+use std::time::Duration;
+
+/// How patient a client is.
+#[derive(Clone, Copy, Debug)]
+pub struct Rules {
+    /// How long a watch may wait for news.
+    pub hold: Duration,
+    /// The first wait after every replica has failed, and the longest.
+    pub again: (Duration, Duration),
+    /// Calls are no closer together than this, however fast the list changes.
+    pub pace: Duration,
+    /// A replica whose answers are older than this is left for another one.
+    pub stale: Duration,
+    /// How long a new incarnation has to learn of everybody.
+    pub settle: Duration,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Self { hold: ms(5000), again: (ms(50), ms(2000)), pace: ms(20), stale: ms(5000), settle: ms(30_000) }
+    }
+}
+
+/// What is asked of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// Which one, by its place among the addresses.
+    pub replica: usize,
+    /// Changes since this version; none for the whole list.
+    pub from: Option<u64>,
+    /// The newest version that was ever seen: a replica that has not reached it must not answer.
+    pub seen: Option<u64>,
+    /// How long it may wait for news; nothing where the whole list is wanted.
+    pub hold: Duration,
+}
+
+/// What an answer says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Head {
+    /// The registry's incarnation.
+    pub incarnation: u64,
+    /// The version that the client has with it.
+    pub rev: u64,
+    /// Whether it is the whole list.
+    pub all: bool,
+    /// How old it may be at most; none if the replica can't tell.
+    pub age: Option<Duration>,
+}
+
+/// What is to be done with an answer's lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Take {
+    /// They are the whole list: who is missing has gone.
+    Whole,
+    /// They change the list; who is missing stays.
+    Changes,
+    /// Nothing: it is older than what the client has.
+    Nothing,
+}
+
+/// A client of the registry.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    rules: Rules,
+    replicas: usize,
+    at: usize,
+    /// What it has: incarnation and version.
+    has: Option<(u64, u64)>,
+    /// As of when the list is known to be true; a time of its own clock.
+    as_of: Option<Duration>,
+    /// Until when a new incarnation is learning who is there.
+    settles: Option<Duration>,
+    /// Whether the whole list is wanted next.
+    whole: bool,
+    /// Failures in a row, and how many replicas in a row said that they know little.
+    failures: u32,
+    stale: usize,
+    not_before: Duration,
+}
+
+impl Follower {
+    /// A client of so many replicas. `luck`, from 0 to 1, says which one it asks first, so that a fleet spreads.
+    pub fn new(rules: Rules, replicas: usize, luck: f64) -> Self {
+        let replicas = replicas.max(1);
+        Self {
+            rules,
+            replicas,
+            at: ((luck * replicas as f64) as usize).min(replicas - 1),
+            has: None,
+            as_of: None,
+            settles: None,
+            whole: true,
+            failures: 0,
+            stale: 0,
+            not_before: Duration::ZERO,
+        }
+    }
+
+    /// The next call, and not before when.
+    pub fn next(&mut self, now: Duration) -> (Duration, Ask) {
+        if self.settles.is_some_and(|until| until <= now) {
+            // Who has not registered by now has gone.
+            self.whole = true;
+        }
+        let from = self.has.filter(|_| !self.whole).map(|(_, rev)| rev);
+        // A watch must not outlast the time that a new incarnation has.
+        let left =
+            self.settles.map_or(self.rules.hold, |until| until.saturating_sub(now).max(self.rules.pace));
+        let hold = if from.is_some() { self.rules.hold.min(left) } else { Duration::ZERO };
+        let ask = Ask { replica: self.at, from, seen: self.has.map(|(_, rev)| rev), hold };
+        (self.not_before.max(now), ask)
+    }
+
+    /// A replica has answered with a list; the call went out at `asked`.
+    pub fn answered(&mut self, asked: Duration, now: Duration, head: Head) -> Take {
+        self.failures = 0;
+        self.not_before = asked + self.rules.pace;
+        let stale = head.age.is_none_or(|age| age > self.rules.stale);
+        if stale && self.stale + 1 < self.replicas {
+            // Another one may know more; what this one knows counts all the same.
+            self.stale += 1;
+            self.at = (self.at + 1) % self.replicas;
+        } else if !stale {
+            self.stale = 0;
+        }
+        if let Some(age) = head.age {
+            let as_of = now.saturating_sub(age);
+            self.as_of = Some(self.as_of.map_or(as_of, |known| known.max(as_of)));
+        }
+        match self.has {
+            Some((incarnation, rev)) if (head.incarnation, head.rev) < (incarnation, rev) => {
+                return Take::Nothing;
+            }
+            Some((incarnation, _)) if head.incarnation > incarnation => {
+                self.settles = Some(now + self.rules.settle);
+            }
+            _ => {}
+        }
+        // Changes make sense only to whom they were told for.
+        let whole = std::mem::replace(&mut self.whole, false);
+        if !head.all && (whole || self.has.is_none()) {
+            self.whole = true;
+            return Take::Nothing;
+        }
+        self.has = Some((head.incarnation, head.rev));
+        match self.settles {
+            Some(until) if now < until => Take::Changes,
+            Some(_) if head.all => {
+                self.settles = None;
+                Take::Whole
+            }
+            _ if head.all => Take::Whole,
+            _ => Take::Changes,
+        }
+    }
+
+    /// A replica did not answer, or with no list. `after` is the wait that it asked for, if it did; `luck`, from 0 to 1,
+    /// spreads the calls of a fleet.
+    pub fn failed(&mut self, now: Duration, after: Option<Duration>, luck: f64) {
+        self.at = (self.at + 1) % self.replicas;
+        self.failures = self.failures.saturating_add(1);
+        let rounds = self.failures / self.replicas as u32;
+        let (first, longest) = self.rules.again;
+        let wait = if rounds == 0 {
+            // Another one is asked almost at once; the spread keeps a fleet from falling on it in one instant.
+            first
+        } else {
+            first.saturating_mul(1 << rounds.min(16)).min(longest)
+        };
+        let wait = wait.max(after.unwrap_or_default().min(longest));
+        self.not_before = now + wait.mul_f64(0.5 + 0.5 * luck.clamp(0.0, 1.0));
+    }
+
+    /// The whole list is wanted next.
+    pub fn want_whole(&mut self) {
+        self.whole = true;
+    }
+
+    /// The replicas are others now, so many of them. It is the same registry: the version stands.
+    pub fn moved(&mut self, replicas: usize) {
+        self.replicas = replicas.max(1);
+        (self.at, self.failures, self.stale) = (0, 0, 0);
+        self.not_before = Duration::ZERO;
+    }
+
+    /// Whether no replica has answered since each was asked.
+    pub fn is_alone(&self) -> bool {
+        self.failures as usize >= self.replicas
+    }
+
+    /// How old the list is at most; none if it was never known to be true.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        self.as_of.map(|as_of| now.saturating_sub(as_of))
+    }
+
+    /// As of when the list is known to be true; none if it never was.
+    pub fn as_of(&self) -> Option<Duration> {
+        self.as_of
+    }
+
+    /// Which replica is asked now, by its place among the addresses.
+    pub fn replica(&self) -> usize {
+        self.at
+    }
+
+    /// The version that it has.
+    pub fn rev(&self) -> Option<u64> {
+        self.has.map(|(_, rev)| rev)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use proptest::prelude::*;
+
+    use super::*;
+
+    fn s(seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds)
+    }
+
+    fn head(incarnation: u64, rev: u64, all: bool) -> Head {
+        Head { incarnation, rev, all, age: Some(Duration::ZERO) }
+    }
+
+    #[test]
+    fn it_takes_the_whole_list_first_and_then_watches_for_changes() {
+        let mut follower = Follower::new(Rules::default(), 3, 0.5);
+        let (_, ask) = follower.next(s(0.0));
+        assert_eq!((ask.replica, ask.from, ask.hold), (1, None, Duration::ZERO));
+        assert_eq!(follower.answered(s(0.0), s(0.0), head(1, 7, true)), Take::Whole);
+        let (at, ask) = follower.next(s(0.0));
+        assert_eq!((at, ask.from, ask.seen), (Rules::default().pace, Some(7), Some(7)));
+        assert_eq!(follower.answered(s(0.0), s(1.0), head(1, 9, false)), Take::Changes);
+        assert_eq!(follower.next(s(1.0)).1.from, Some(9));
+        assert_eq!(follower.age(s(3.0)), Some(s(2.0)));
+    }
+
+    #[test]
+    fn a_failing_replica_is_left_soon_and_a_failing_registry_is_not_pressed() {
+        let mut follower = Follower::new(Rules::default(), 3, 0.0);
+        follower.answered(s(0.0), s(0.0), head(1, 7, true));
+        let mut replicas = Vec::new();
+        let mut now = s(1.0);
+        let mut waits = Vec::new();
+        for _ in 0..12 {
+            follower.failed(now, None, 1.0);
+            let (at, ask) = follower.next(now);
+            assert_eq!(ask.from, Some(7), "it goes on from where it was");
+            replicas.push(ask.replica);
+            waits.push(at - now);
+            now = at;
+        }
+        assert_eq!(replicas[..4], [1, 2, 0, 1]);
+        assert!(waits[0] <= s(0.05), "another one almost at once: {waits:?}");
+        assert!(waits.iter().all(|wait| *wait <= s(2.0)));
+        assert!(waits[11] > 4 * waits[0], "{waits:?}");
+        follower.answered(now, now, head(1, 7, false));
+        follower.failed(now, None, 1.0);
+        assert!(follower.next(now).0 - now <= s(0.05), "an answer ends the waiting");
+    }
+
+    #[test]
+    fn a_new_incarnation_adds_at_once_and_takes_away_only_when_all_had_time_to_register() {
+        let rules = Rules::default();
+        let mut follower = Follower::new(rules, 1, 0.0);
+        follower.answered(s(0.0), s(0.0), head(1, 40, true));
+        assert_eq!(
+            follower.answered(s(1.0), s(1.0), head(2, 100, true)),
+            Take::Changes,
+            "none is taken for gone"
+        );
+        assert_eq!(follower.answered(s(2.0), s(2.0), head(2, 103, false)), Take::Changes);
+        let over = s(1.0) + rules.settle;
+        let (_, ask) = follower.next(over - s(0.5));
+        assert!(ask.hold <= s(0.5), "the watch ends in time: {ask:?}");
+        let (_, ask) = follower.next(over);
+        assert_eq!((ask.from, ask.seen), (None, Some(103)), "the whole list is wanted then");
+        assert_eq!(follower.answered(over, over, head(2, 103, true)), Take::Whole);
+        assert_eq!(follower.next(over).1.from, Some(103));
+    }
+
+    #[test]
+    fn one_that_knows_little_is_left_for_another_but_not_for_ever() {
+        let mut follower = Follower::new(Rules::default(), 3, 0.0);
+        let old = |age| Head { age, ..head(1, 7, true) };
+        assert_eq!(follower.answered(s(0.0), s(9.0), old(None)), Take::Whole, "what it knows counts");
+        assert_eq!(follower.next(s(9.0)).1.replica, 1);
+        assert_eq!(follower.age(s(9.0)), None, "nobody knows how old that was");
+        follower.answered(s(9.0), s(9.0), Head { all: false, ..old(Some(s(7.0))) });
+        assert_eq!(follower.next(s(9.0)).1.replica, 2);
+        assert_eq!(follower.age(s(9.0)), Some(s(7.0)));
+        for _ in 0..5 {
+            follower.answered(s(9.0), s(9.0), Head { all: false, ..old(None) });
+        }
+        assert_eq!(follower.next(s(9.0)).1.replica, 2, "all are as bad: it stays");
+    }
+
+    proptest! {
+        /// Whatever replicas answer and in whatever order, the client's version never steps back, changes are taken only
+        /// onto the version that they were asked from, and calls keep their distance.
+        #[test]
+        fn the_version_never_steps_back(
+            answers in prop::collection::vec((0u8..4, 1u64..4, 0u64..50, any::<bool>(), 0u64..9000), 1..200)
+        ) {
+            let mut follower = Follower::new(Rules::default(), 3, 0.3);
+            let (mut now, mut last) = (s(0.0), (0, 0));
+            for (kind, incarnation, rev, all, age) in answers {
+                let (at, ask) = follower.next(now);
+                prop_assert!(at >= now && at <= now + s(2.0));
+                now = at;
+                if kind == 0 {
+                    follower.failed(now, None, 0.7);
+                    continue;
+                }
+                let age = (kind > 1).then(|| Duration::from_millis(age));
+                let took = follower.answered(at, now, Head { incarnation, rev, all, age });
+                if took != Take::Nothing {
+                    prop_assert!((incarnation, rev) >= last);
+                    prop_assert!(all || ask.from.is_some(), "changes onto nothing");
+                    last = (incarnation, rev);
+                }
+                prop_assert_eq!(follower.rev().is_some(), last != (0, 0) || follower.rev() == Some(0));
+            }
+        }
+    }
+}
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -18,7 +18,8 @@
 
 use crate::driver::{Listed, Node};
 
-const PATH: &str = "/registry/instances";
+/// Where the list is.
+pub const PATH: &str = "/registry/instances";
 /// How long one watch may wait: short beside an agent on the node's own machine, where a call costs nothing
 /// and one that has gone silent should be noticed; long where all nodes ask one service.
 const HOLD_PUSHED: Duration = Duration::from_secs(5);
@@ -31,7 +32,7 @@
 const AGAIN_ASKED: (Duration, Duration) = (Duration::from_secs(5), Duration::from_secs(10));
 const CONNECT: Duration = Duration::from_millis(500);
 /// A list of thousands of backends fits.
-const MAX_LIST: usize = 4 * 1024 * 1024;
+pub const MAX_LIST: usize = 4 * 1024 * 1024;
 
 /// The list as discovery words it.
 #[derive(Deserialize)]
@@ -39,6 +40,31 @@
     rev: u64,
     all: bool,
     targets: Vec<Target>,
+    /// Told by the fleet's own registry alone.
+    #[serde(default)]
+    incarnation: u64,
+}
+
+impl List {
+    /// Its version.
+    pub fn rev(&self) -> u64 {
+        self.rev
+    }
+
+    /// The registry's incarnation.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Whether it is the whole list.
+    pub fn is_whole(&self) -> bool {
+        self.all
+    }
+
+    /// Its lines, as the driver takes them.
+    pub fn listed(self) -> Vec<Listed> {
+        self.targets.into_iter().map(Target::listed).collect()
+    }
 }
 
 #[derive(Deserialize)]
@@ -130,7 +156,7 @@
     pub fn new(node: Node, at: watch::Receiver<SocketAddr>, known: Option<List>) -> Self {
         let rev = known.as_ref().map(|list| list.rev);
         if let Some(list) = known {
-            node.fleet(ListScope::Cached, list.targets.into_iter().map(Target::listed).collect());
+            node.fleet(ListScope::Cached, list.listed());
         }
         Self { node, at, rev, link: None }
     }
@@ -183,7 +209,7 @@
         self.rev = Some(list.rev);
         let scope = if list.all { ListScope::Full } else { ListScope::Changes };
         if list.all || !list.targets.is_empty() {
-            self.node.fleet(scope, list.targets.into_iter().map(Target::listed).collect());
+            self.node.fleet(scope, list.listed());
         }
     }
 
@@ -217,8 +243,8 @@
     }
 }
 
-/// Resolves when discovery's address has changed.
-async fn moved(addresses: &mut watch::Receiver<SocketAddr>) {
+/// Resolves when an address has changed.
+pub async fn moved<T>(addresses: &mut watch::Receiver<T>) {
     if addresses.changed().await.is_err() {
         // No other address will come.
         std::future::pending().await
--- a/node/src/driver/exchange.rs
+++ b/node/src/driver/exchange.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// A client's request in the form in which it is passed on.
 pub struct Call {
@@ -120,3 +121,16 @@
     /// What is passed on.
     pub call: Call,
 }
+
+/// How the list stands that the fleet's registry tells.
+#[derive(Clone, Copy, Debug)]
+pub struct ListState {
+    /// Its version.
+    pub rev: Option<u64>,
+    /// As of when it is known to be true; none if it never was.
+    pub as_of: Option<Instant>,
+    /// Which replica is asked.
+    pub replica: SocketAddr,
+    /// Since when no replica has answered.
+    pub away_since: Option<Instant>,
+}
--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -14,7 +14,7 @@
 pub mod tests;
 mod timers;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -28,7 +28,7 @@
 
 use backends::Backends;
 pub use clock::Clock;
-pub use exchange::{Asked, Call, Ending, Launch, Listed, Reply, Ticket};
+pub use exchange::{Asked, Call, Ending, Launch, ListState, Listed, Reply, Ticket};
 use requests::Requests;
 use timers::{Due, Timers};
 
@@ -75,6 +75,8 @@
     timer: Rc<Notify>,
     asked: Rc<Notify>,
     clock: Clock,
+    /// How the list stands; none where an agent tells it.
+    list: Rc<Cell<Option<ListState>>>,
 }
 
 impl Node {
@@ -97,7 +99,8 @@
             whole_list: false,
         };
         let driver = Rc::new(RefCell::new(driver));
-        let node = Self { driver, launcher, timer: Rc::default(), asked: Rc::default(), clock };
+        let (timer, asked, list) = Default::default();
+        let node = Self { driver, launcher, timer, asked, clock, list };
         node.tell(|driver, errands| driver.hear(Event::Start, errands));
         Ok(node)
     }
@@ -180,6 +183,16 @@
         self.tell(|driver, errands| driver.hear(Event::FleetFailed, errands));
     }
 
+    /// Notes how the list stands.
+    pub fn note_list(&self, state: ListState) {
+        self.list.set(Some(state));
+    }
+
+    /// How the list stands; none where an agent tells it.
+    pub fn list_state(&self) -> Option<ListState> {
+        self.list.get()
+    }
+
     /// Waits until the module asks for the watch or the list.
     pub async fn discovery_wanted(&self) {
         self.asked.notified().await;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,15 +6,18 @@
 mod discovery;
 mod driver;
 mod log;
+mod registry;
 mod server;
 mod upstream;
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use flaxdale_fleet::file::Fleet;
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -36,6 +39,8 @@
 
 /// The log's target for the line that tells where the node listens, so that a filter can let it through by itself.
 const STARTED: &str = "badgerpost::started";
+/// Names the fleet file. Without one the node knows of no fleet, and its agent tells it the list.
+const FLEET: &str = "EDGE_FLEET";
 /// Set to `stdin` by a program that starts nodes and must not leave any behind: the node ends with its input.
 const TETHER: &str = "EDGE_TETHER";
 
@@ -71,6 +76,8 @@
     Sockets(usize),
     #[error("configuration: {0}")]
     Settings(String),
+    #[error("fleet file {0}")]
+    Fleet(#[from] flaxdale_fleet::file::FileError),
     #[error("can't listen at {at}: {source}")]
     Listen { at: SocketAddr, source: std::io::Error },
     #[error("can't start: {0}")]
@@ -102,6 +109,11 @@
     serde_json::from_slice(&text).map_err(|source| StartError::Malformed { path, source })
 }
 
+fn read_fleet() -> Result<Option<Fleet>, StartError> {
+    let Some(file) = std::env::var_os(FLEET) else { return Ok(None) };
+    Ok(Some(Fleet::read(Path::new(&file))?))
+}
+
 async fn serve(config: Config, log: Arc<log::Bound>) -> Result<(), StartError> {
     spawn_local(log.report());
     if std::env::var(TETHER).is_ok_and(|to| to == "stdin") {
@@ -116,15 +128,21 @@
     let node = Node::new(site.settings, site.words, seed, clock, Rc::new(upstream))
         .map_err(|error| StartError::Settings(error.to_string()))?;
     let (discovery, addresses) = watch::channel(config.discovery);
-    let watch = discovery::Watch::new(node.clone(), addresses, config.known);
+    let registry = read_fleet()?.and_then(|fleet| fleet.registry);
+    let (replicas, replicas_are) =
+        watch::channel(registry.clone().map_or(Vec::new(), |known| known.addresses));
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hangup = signal(SignalKind::hangup())?;
     let listener =
         listen(config.listen).map_err(|source| StartError::Listen { at: config.listen, source })?;
     tracing::info!(target: STARTED, node = config.name, listen = %listener.local_addr()?, "serves");
-    spawn_local(reconfigure(hangup, discovery));
-    spawn_local(watch.run());
+    spawn_local(reconfigure(hangup, discovery, replicas));
+    if registry.is_some() {
+        spawn_local(registry::Follow::new(node.clone(), replicas_are, seed, config.known).run());
+    } else {
+        spawn_local(discovery::Watch::new(node.clone(), addresses, config.known).run());
+    }
     let timers = node.clone();
     spawn_local(async move { timers.run_timers().await });
     let (phase, phases) = watch::channel(Phase::Serving);
@@ -170,8 +188,13 @@
     socket.listen(BACKLOG)
 }
 
-/// At each SIGHUP reads the configuration again, of which discovery's address may have changed; never ends.
-async fn reconfigure(mut hangup: Signal, discovery: watch::Sender<SocketAddr>) {
+/// At each SIGHUP reads the configuration and the fleet file again, of which the addresses of discovery and of the
+/// registry may have changed; never ends.
+async fn reconfigure(
+    mut hangup: Signal,
+    discovery: watch::Sender<SocketAddr>,
+    replicas: watch::Sender<Vec<SocketAddr>>,
+) {
     while hangup.recv().await.is_some() {
         match read_config() {
             Ok(config) => {
@@ -181,6 +204,21 @@
             // The node goes on as it was.
             Err(error) => tracing::error!(cause = %error, "configuration not taken"),
         }
+        match read_fleet() {
+            Ok(Some(Fleet { registry: Some(registry) })) => {
+                replicas.send_if_modified(|known| {
+                    let moved = *known != registry.addresses && !known.is_empty();
+                    if moved {
+                        tracing::info!(replicas = registry.addresses.len(), "fleet file read again");
+                        *known = registry.addresses;
+                    }
+                    moved
+                });
+            }
+            // Whether there is a registry is settled at the start.
+            Ok(_) => {}
+            Err(error) => tracing::error!(cause = %error, "fleet file not taken"),
+        }
     }
 }
 
--- /dev/null
+++ b/node/src/registry.rs
@@ -0,0 +1,162 @@
+//! The list of backends from the fleet's own registry: one watch, on whichever replica answers. What is asked of which
+//! replica, and what an answer is worth, is decided in [`Follower`]; here are its sockets and its clock.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use brookfield::ListScope;
+use flaxdale_fleet::call::{Answer, Call, CallError, Link};
+use flaxdale_fleet::follow::{Ask, Follower, Head, Rules, Take};
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::Xoshiro256PlusPlus;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep_until};
+
+use crate::discovery::{List, MAX_LIST, PATH, moved};
+use crate::driver::{ListState, Node};
+
+/// An answer this long after the wait was over does not come any more.
+const GRACE: Duration = Duration::from_secs(1);
+/// The header by which a replica says how old its list may be, in milliseconds.
+const AGE: &str = "x-list-age-ms";
+/// How often the log tells that the registry is still away.
+const TOLD_AGAIN: Duration = Duration::from_secs(10);
+
+/// Why a call brought no list.
+#[derive(Debug, thiserror::Error)]
+enum Trouble {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("answered {status}: {text}")]
+    Status { status: StatusCode, text: String, again: Option<Duration> },
+    #[error("not a list: {0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
+/// Follows the registry.
+pub struct Follow {
+    node: Node,
+    /// Where the replicas are, which a fleet file that is read again may change.
+    addresses: watch::Receiver<Vec<SocketAddr>>,
+    links: Vec<Link>,
+    follower: Follower,
+    luck: Xoshiro256PlusPlus,
+    began: Instant,
+    /// Since when no replica has answered, and when that was last told.
+    away: Option<(Duration, Duration)>,
+}
+
+impl Follow {
+    /// A client of the replicas at these addresses, going on from `known`, which may be old.
+    pub fn new(
+        node: Node,
+        addresses: watch::Receiver<Vec<SocketAddr>>,
+        seed: u64,
+        known: Option<List>,
+    ) -> Self {
+        if let Some(list) = known {
+            node.fleet(ListScope::Cached, list.listed());
+        }
+        let mut luck = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let links: Vec<Link> = addresses.borrow().iter().map(|at| Link::to(*at)).collect();
+        let follower = Follower::new(Rules::default(), links.len(), luck.random());
+        Self { node, addresses, links, follower, luck, began: Instant::now(), away: None }
+    }
+
+    /// Follows; never ends.
+    pub async fn run(mut self) {
+        let mut moves = self.addresses.clone();
+        self.note();
+        loop {
+            if self.node.take_whole_list() {
+                self.follower.want_whole();
+            }
+            let (at, ask) = self.follower.next(self.began.elapsed());
+            let called = async {
+                sleep_until(self.began + at).await;
+                let asked = self.began.elapsed();
+                (asked, call(&mut self.links[ask.replica], &ask).await)
+            };
+            let (asked, answer) = tokio::select! {
+                biased;
+                () = moved(&mut moves) => {
+                    self.links = moves.borrow_and_update().iter().map(|at| Link::to(*at)).collect();
+                    self.follower.moved(self.links.len());
+                    continue;
+                }
+                called = called => called,
+            };
+            match answer {
+                Ok((head, list)) => self.take(asked, head, list),
+                Err(trouble) => self.missed(&trouble),
+            }
+            self.note();
+        }
+    }
+
+    fn note(&self) {
+        self.node.note_list(ListState {
+            rev: self.follower.rev(),
+            as_of: self.follower.as_of().map(|as_of| self.began + as_of),
+            replica: self.links[self.follower.replica()].at(),
+            away_since: self.away.map(|(since, _)| self.began + since),
+        });
+    }
+
+    fn take(&mut self, asked: Duration, head: Head, list: List) {
+        let now = self.began.elapsed();
+        let scope = match self.follower.answered(asked, now, head) {
+            Take::Whole => Some(ListScope::Full),
+            Take::Changes => Some(ListScope::Changes),
+            Take::Nothing => None,
+        };
+        if let Some((since, _)) = self.away.take() {
+            let away_ms = now.saturating_sub(since).as_millis() as u64;
+            tracing::info!(away_ms, rev = head.rev, "the registry answers again");
+        }
+        let lines = list.listed();
+        if let Some(scope) = scope.filter(|scope| *scope == ListScope::Full || !lines.is_empty()) {
+            self.node.fleet(scope, lines);
+        }
+    }
+
+    fn missed(&mut self, trouble: &Trouble) {
+        let now = self.began.elapsed();
+        tracing::debug!(replica = %self.links[self.follower.replica()].at(), cause = %trouble, "no list");
+        let again = if let Trouble::Status { again, .. } = trouble { *again } else { None };
+        self.follower.failed(now, again, self.luck.random());
+        if !self.follower.is_alone() {
+            return;
+        }
+        let age_ms = self.follower.age(now).map(|age| age.as_millis() as u64);
+        let (since, told) = *self.away.get_or_insert((now, Duration::ZERO));
+        if told == Duration::ZERO || now.saturating_sub(told) >= TOLD_AGAIN {
+            tracing::warn!(age_ms, cause = %trouble, "the registry is away; the list goes on being used");
+            self.away = Some((since, now));
+        }
+    }
+}
+
+async fn call(link: &mut Link, ask: &Ask) -> Result<(Head, List), Trouble> {
+    let mut target = format!("{PATH}?hold_ms={}", ask.hold.as_millis());
+    for (name, value) in [("from", ask.from), ("seen", ask.seen)] {
+        value.into_iter().for_each(|value| target.push_str(&format!("&{name}={value}")));
+    }
+    let answer = link.call(&Call::get(target, ask.hold + GRACE, MAX_LIST)).await?;
+    if answer.status != StatusCode::OK {
+        let text = String::from_utf8_lossy(&answer.body[..answer.body.len().min(200)]).into_owned();
+        let again = header(&answer, RETRY_AFTER.as_str()).and_then(|text| text.parse::<f64>().ok());
+        let again = again.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+        return Err(Trouble::Status { status: answer.status, text, again });
+    }
+    let list: List = serde_json::from_slice(&answer.body)?;
+    let age = header(&answer, AGE).and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    Ok((Head { incarnation: list.incarnation(), rev: list.rev(), all: list.is_whole(), age }, list))
+}
+
+fn header<'a>(answer: &'a Answer, name: &str) -> Option<&'a str> {
+    answer.headers.get(name)?.to_str().ok()
+}
--- a/node/src/server.rs
+++ b/node/src/server.rs
@@ -244,6 +244,9 @@
             plain(StatusCode::SERVICE_UNAVAILABLE, "no server known yet")
         }
         "/health/ready" => plain(StatusCode::OK, "ready"),
+        "/health/list" if node.list_state().is_some() && request.method() == Method::GET => {
+            plain(StatusCode::OK, &list_figures(node))
+        }
         _ => plain(StatusCode::NOT_FOUND, "no such path"),
     };
     if !client || !serving() {
@@ -252,6 +255,15 @@
     Ok(response)
 }
 
+/// How the list stands, for whoever looks after the node.
+fn list_figures(node: &Node) -> String {
+    let Some(list) = node.list_state() else { return String::new() };
+    let since = |at: Option<Instant>| at.map(|at| at.elapsed().as_millis() as u64);
+    serde_json::json!({"rev": list.rev, "age_ms": since(list.as_of), "away_ms": since(list.away_since),
+        "replica": list.replica.to_string()})
+    .to_string()
+}
+
 async fn call(node: &Node, request: Request<Incoming>, whole_by: Instant) -> Result<Answer, BadCall> {
     let came = node.clock().now();
     let (head, body) = request.into_parts();
--- a/registry/src/list.rs
+++ b/registry/src/list.rs
@@ -12,9 +12,17 @@
 pub const MOST_NAME: usize = 128;
 /// Changes that are kept for watchers; one that is further behind gets the whole list.
 pub const HISTORY: usize = 10_000;
+/// Lines of a part of a backup: a part has to fit into one entry of the log.
+pub const MOST_PART: usize = 200;
 /// A version of the list.
 pub type Rev = u64;
 
+/// A version past all that were ever told before this second of Unix time: what begins anew, from nothing or from a
+/// backup, begins there, and no client has seen more. An incarnation has room for four thousand million changes.
+pub fn past_all_before(unix_s: u64) -> Rev {
+    unix_s << 32
+}
+
 /// What the list says of an instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum State {
@@ -81,6 +89,22 @@
     Suspect(Vec<(String, u64)>),
     /// They have renewed after all, or a person says that they live.
     Clear(Vec<(String, u64)>),
+    /// The first of a new registry: its versions begin past what clients of an earlier one may have seen.
+    Begin {
+        /// See [`past_all_before`].
+        past: Rev,
+    },
+    /// A part of a backup. The last one puts the backup in place of the list.
+    Restore {
+        /// Which part, from 0.
+        part: u32,
+        /// How many there are.
+        parts: u32,
+        /// Its lines.
+        lines: Vec<Line>,
+        /// See [`past_all_before`].
+        past: Rev,
+    },
 }
 
 /// Why a command changed nothing.
@@ -114,6 +138,18 @@
         /// What differs.
         field: &'static str,
     },
+    /// A part of a backup that is none, or not the next one.
+    #[error(
+        "part {part} of {parts} of a backup, with {lines} lines, is not the next one: begin again with part 0"
+    )]
+    Part {
+        /// Which one.
+        part: u32,
+        /// Of how many.
+        parts: u32,
+        /// Its lines.
+        lines: usize,
+    },
     /// It is not on the list.
     #[error("{uid} is not on the list")]
     Unknown {
@@ -144,6 +180,9 @@
     history: VecDeque<Line>,
     /// The version from which on the history holds every change.
     reaches: Rev,
+    /// The parts of a backup that have come so far, and how many they are.
+    #[serde(default)]
+    staged: (u32, Vec<Line>),
 }
 
 fn name(field: &'static str, text: &str) -> Result<(), Refused> {
@@ -195,6 +234,8 @@
             Command::Leave { uid, boot_ms } => self.change(uid, *boot_ms, |line| line.state = State::Gone),
             Command::Suspect(lives) => Ok(self.mark(lives, true)),
             Command::Clear(lives) => Ok(self.mark(lives, false)),
+            Command::Begin { past } => Ok((self.incarnation == 0).then(|| self.begin_anew(*past))),
+            Command::Restore { part, parts, lines, past } => self.restore(*part, *parts, lines, *past),
         }
     }
 
@@ -215,6 +256,11 @@
         Some(Told { rev: self.rev, all: false, lines: last.into_values().cloned().collect() })
     }
 
+    /// For a watcher that has the newest version.
+    pub fn nothing_new(&self) -> Told {
+        Told { rev: self.rev, all: false, lines: Vec::new() }
+    }
+
     /// The whole list.
     pub fn whole(&self) -> Told {
         Told { rev: self.rev, all: true, lines: self.lines.values().cloned().collect() }
@@ -223,11 +269,42 @@
     /// The list as a restore brings it back: a new incarnation, whose version is past `seen`, the newest that any
     /// client is known to have.
     pub fn restored(mut self, seen: Rev) -> Self {
-        self.incarnation += 1;
-        self.rev = self.rev.max(seen) + 1;
+        self.begin_anew(seen);
+        self
+    }
+
+    fn begin_anew(&mut self, past: Rev) -> Rev {
+        // The second in it tells apart two restores of one backup as well.
+        self.incarnation = (self.incarnation + 1).max(past >> 32);
+        self.rev = self.rev.max(past) + 1;
         self.history.clear();
         self.reaches = self.rev;
-        self
+        self.rev
+    }
+
+    fn restore(&mut self, part: u32, parts: u32, lines: &[Line], past: Rev) -> Result<Option<Rev>, Refused> {
+        if part == 0 {
+            self.staged = Default::default();
+        }
+        let refused = Refused::Part { part, parts, lines: lines.len() };
+        if part != self.staged.0 || part >= parts || lines.len() > MOST_PART {
+            return Err(refused);
+        }
+        lines.iter().try_for_each(|line| line.instance.check())?;
+        if self.staged.1.len() + lines.len() > MOST_INSTANCES {
+            self.staged = Default::default();
+            return Err(Refused::Full);
+        }
+        self.staged.0 += 1;
+        self.staged.1.extend_from_slice(lines);
+        if part + 1 < parts {
+            return Ok(None);
+        }
+        let (_, lines) = std::mem::take(&mut self.staged);
+        // Whoever was a suspect then gets a full lease now, as all do.
+        let lines = lines.into_iter().filter(|line| line.state != State::Gone);
+        self.lines = lines.map(|line| (line.instance.uid.clone(), Line { suspect: false, ..line })).collect();
+        Ok(Some(self.begin_anew(past)))
     }
 
     fn register(&mut self, instance: &Instance) -> Result<Option<Rev>, Refused> {
--- /dev/null
+++ b/registry/src/serve.rs
@@ -0,0 +1,131 @@
+//! A replica as a process: its doors, with bounds on who comes through them, and its end.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use axum::Router;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio_io_timeout::TimeoutStream;
+
+use crate::http::{Doors, clients, peers};
+use crate::replica::{Replica, StartError};
+use crate::settings::Settings;
+
+/// Connections that the system may hold before they are taken.
+const BACKLOG: u32 = 4096;
+/// A connection that stands idle for this long is closed, and one whose next call takes as long to come.
+const IDLE: Duration = Duration::from_secs(75);
+/// A peer that reads nothing for this long is hung up on.
+const READS: Duration = Duration::from_secs(5);
+/// Connections of the other replicas.
+const MOST_PEERS: usize = 256;
+/// Bytes that a connection buffers at most; bodies pass through.
+const BUFFER: usize = 8 * 1024;
+/// A door whose system gives no connection waits this long.
+const NO_DESCRIPTOR: Duration = Duration::from_millis(50);
+
+/// Why a replica can't serve.
+#[derive(Debug, thiserror::Error)]
+pub enum ServeError {
+    /// A door can't be opened.
+    #[error("can't listen at {at}: {source}")]
+    Listen {
+        /// Where.
+        at: SocketAddr,
+        /// Why not.
+        source: io::Error,
+    },
+    /// The replica can't start.
+    #[error(transparent)]
+    Start(#[from] StartError),
+}
+
+/// A replica that serves.
+pub struct Serving {
+    /// It.
+    pub replica: Arc<Replica>,
+    /// Where it listens.
+    pub doors: Doors,
+}
+
+fn open(at: SocketAddr) -> Result<TcpListener, ServeError> {
+    let listen = || {
+        let socket = if at.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        // A restart must not wait for the last life's connections to leave the system's tables.
+        socket.set_reuseaddr(true)?;
+        socket.bind(at)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|source| ServeError::Listen { at, source })
+}
+
+/// Opens the doors and starts a replica behind them; its tasks end with the runtime. A port of 0 takes a free one.
+pub async fn serve(mut settings: Settings) -> Result<Serving, ServeError> {
+    let (for_clients, for_peers) = (open(settings.listen)?, open(settings.peer_listen)?);
+    let at = |listener: &TcpListener, wanted| listener.local_addr().unwrap_or(wanted);
+    let doors =
+        Doors { clients: at(&for_clients, settings.listen), peers: at(&for_peers, settings.peer_listen) };
+    (settings.listen, settings.peer_listen) = (doors.clients, doors.peers);
+    let most = settings.most_connections;
+    let replica = Replica::start(settings).await?;
+    tokio::spawn(take(for_peers, peers(replica.clone()), MOST_PEERS, Arc::default(), replica.clone()));
+    let connections = replica.connections.clone();
+    tokio::spawn(take(for_clients, clients(replica.clone()), most, connections, replica.clone()));
+    Ok(Serving { replica, doors })
+}
+
+/// Takes connections, as many at a time as there may be; one too many is closed at once. Never ends.
+async fn take(
+    listener: TcpListener,
+    router: Router,
+    most: usize,
+    open: Arc<AtomicUsize>,
+    replica: Arc<Replica>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // No descriptor is left, or the peer went at once.
+                tracing::warn!(cause = %error, "no connection taken");
+                tokio::time::sleep(NO_DESCRIPTOR).await;
+                continue;
+            }
+        };
+        if open.load(Ordering::Relaxed) >= most {
+            replica.figures.refusals.inc();
+            continue;
+        }
+        open.fetch_add(1, Ordering::Relaxed);
+        let (open, replica, router) = (open.clone(), replica.clone(), router.clone());
+        tokio::spawn(async move {
+            converse(stream, router, &replica).await;
+            open.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+}
+
+async fn converse(stream: TcpStream, router: Router, replica: &Replica) {
+    // Some systems refuse the option on a connection that has just gone.
+    let _ = stream.set_nodelay(true);
+    let mut stream = TimeoutStream::new(stream);
+    stream.set_write_timeout(Some(READS));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .max_buf_size(BUFFER)
+        .serve_connection(TokioIo::new(Box::pin(stream)), TowerToHyperService::new(router));
+    if let Err(error) = connection.await {
+        let cause = std::error::Error::source(&error).and_then(|cause| cause.downcast_ref::<io::Error>());
+        if cause.is_some_and(|cause| cause.kind() == io::ErrorKind::TimedOut) {
+            replica.figures.slow.inc();
+        }
+        tracing::debug!(cause = %error, "the connection broke");
+    }
+}
--- a/registry/tests/list.rs
+++ b/registry/tests/list.rs
@@ -205,3 +205,47 @@
     assert_eq!(list.apply(&register("s0", 5)), Ok(Some(4)));
     assert_eq!(list.line("s0").map(|line| line.suspect), Some(false));
 }
+
+fn line(uid: &str) -> Line {
+    Line { instance: instance(uid, 1), state: State::Ready, suspect: true, rev: 3 }
+}
+
+fn part(part: u32, parts: u32, lines: Vec<Line>) -> Command {
+    Command::Restore { part, parts, lines, past: past_all_before(1000) }
+}
+
+#[test]
+fn a_new_registry_begins_past_all_that_an_earlier_one_may_have_told_and_only_once() {
+    let mut list = List::default();
+    let past = past_all_before(1000);
+    assert_eq!(list.apply(&Command::Begin { past }), Ok(Some(past + 1)));
+    assert_eq!(list.incarnation(), 1000);
+    assert_eq!(list.apply(&Command::Begin { past: past_all_before(2000) }), Ok(None), "it has begun");
+    assert_eq!(list.apply(&register("s0", 5)), Ok(Some(past + 2)));
+    assert!(list.since(41).is_some_and(|told| told.all), "whoever knew an earlier one gets the whole list");
+}
+
+#[test]
+fn a_backup_comes_back_in_parts_and_counts_only_once_it_is_whole() {
+    let mut list = List::default();
+    list.apply(&register("now", 5)).expect("taken");
+    assert_eq!(list.apply(&part(0, 2, vec![line("a")])), Ok(None));
+    assert_eq!(list.lines().count(), 1, "nothing yet");
+    let wrong = Refused::Part { part: 2, parts: 3, lines: 0 };
+    assert_eq!(list.apply(&part(2, 3, Vec::new())), Err(wrong), "not the next one");
+    let rev = list.apply(&part(1, 2, vec![line("b")])).expect("taken").expect("a version");
+    assert!(rev > past_all_before(1000));
+    let names: Vec<&str> = list.lines().map(|line| line.instance.uid.as_str()).collect();
+    assert_eq!(names, ["a", "b"]);
+    assert!(list.lines().all(|line| !line.suspect), "all get a full lease");
+    // Once more, from the start: another incarnation, though the same second.
+    let before = list.incarnation();
+    list.apply(&part(0, 1, vec![line("c")])).expect("taken");
+    assert!(list.incarnation() > before && list.rev() > rev);
+    // A bad line spoils nothing that stands.
+    let bad = Line { instance: instance("", 1), ..line("d") };
+    assert!(matches!(list.apply(&part(0, 1, vec![bad])), Err(Refused::Name { .. })));
+    let many = vec![line("e"); MOST_PART + 1];
+    assert!(matches!(list.apply(&part(0, 1, many)), Err(Refused::Part { .. })));
+    assert_eq!(list.lines().count(), 1);
+}
