Play a fleet's own registry on the rig, with faults, accounts and histories that are checked

The registry's promises (nothing acknowledged is lost, no client steps back, nobody who renews is taken for gone) were held to by tests of one case each; what a fleet makes of it with nodes, traffic and faults at a time was not played.

`[registry]` in an experiment starts its replicas as processes in place of the stand-in; app servers register, renew, drain and lapse as their emulated processes do; nodes follow by a fleet file. `kill-replica`, `pause-replica` and `lose-replica` take a name or `leader`; links to and between replicas can fail. Clients keep account, and four rules are held: registry_keeps, registry_forward, registry_same, registry_believes. A crowd of watches in growing parts measures fan-out and memory.

Tests keep histories of writes and reads under a killed, a cut-off and a paused replica. A read counts as asked for by the age that it claims, so an answer that claims to be newer than it is fails; the checker for one writer's rising values (Lamport 1986) agrees with stateright's search on small histories of any kind, and finds a replica that would tell an old list as new.

--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -2,6 +2,8 @@
 
 use std::path::Path;
 
+use flaxdale_fleet::file::Fleet;
+use flaxdale_registry::settings::Settings;
 use flaxdale_rig::experiment::{Experiment, On};
 use serde_json::Value;
 
@@ -11,10 +13,14 @@
 /// Checks a file by what its name says it is.
 pub fn check(file: &Path) -> Exit {
     let told = match file.extension().and_then(|ending| ending.to_str()) {
-        Some("toml") => experiment(file),
+        Some("toml") => match kind(file) {
+            Kind::Experiment => experiment(file),
+            Kind::Fleet => fleet(file),
+            Kind::Replica => replica(file),
+        },
         Some("json") => node(file),
         _ => Err(format!(
-            "{}: neither an experiment (.toml) nor a node's configuration (.json)",
+            "{}: neither an experiment, a fleet file or a replica's settings (.toml) nor a node's configuration (.json)",
             file.display()
         )),
     };
@@ -30,6 +36,47 @@
     }
 }
 
+/// What a TOML file is meant to be.
+enum Kind {
+    Experiment,
+    Fleet,
+    Replica,
+}
+
+/// Told by its keys; one that can't be read is left to the reader of experiments to explain.
+fn kind(file: &Path) -> Kind {
+    let text = std::fs::read_to_string(file).unwrap_or_default();
+    let Ok(table) = text.parse::<toml::Table>() else { return Kind::Experiment };
+    let names_addresses = |registry: &toml::Value| registry.get("addresses").is_some();
+    // No experiment has a key beside its tables but for its question.
+    let plain = table.iter().any(|(key, value)| key != "question" && !value.is_table() && !value.is_array());
+    if table.get("registry").is_some_and(names_addresses) {
+        Kind::Fleet
+    } else if plain || table.contains_key("replicas") {
+        Kind::Replica
+    } else {
+        Kind::Experiment
+    }
+}
+
+fn fleet(file: &Path) -> Result<String, String> {
+    let fleet = Fleet::read(file).map_err(|error| error.to_string())?;
+    let replicas = fleet.registry.map_or(0, |registry| registry.addresses.len());
+    Ok(format!("{}: a fleet file: a registry of {replicas} replicas", file.display()))
+}
+
+fn replica(file: &Path) -> Result<String, String> {
+    let settings = Settings::read(file).map_err(|error| error.to_string())?;
+    Ok(format!(
+        "{}: settings of a replica of {:?}: clients at {}, peers at {}, {} replicas",
+        file.display(),
+        settings.fleet,
+        settings.listen,
+        settings.peer_listen,
+        settings.replicas.len().max(1)
+    ))
+}
+
 fn experiment(file: &Path) -> Result<String, String> {
     let experiment = Experiment::read(file).map_err(|error| error.to_string())?;
     let on = if experiment.run.on == On::Virtual { "in virtual time" } else { "on sockets" };
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -46,7 +46,9 @@
 
 #[derive(Subcommand)]
 enum Config {
-    /// Check an experiment (.toml) or a node's configuration (.json), and say what is wrong and where
+    /// Check an experiment, a fleet file or a replica's settings (.toml) or a node's configuration (.json)
+    ///
+    /// Says what is wrong and where.
     Check {
         /// The file
         file: PathBuf,
@@ -90,6 +92,11 @@
     }
 }
 
+/// This program itself, which runs replicas of the registry too.
+pub fn own_program() -> PathBuf {
+    std::env::current_exe().unwrap_or_else(|_| PathBuf::from("flaxdale"))
+}
+
 /// As many descriptors as the system lets this process have: a watcher, a link and a client hold one each.
 fn more_descriptors() {
     use rustix::process::{Resource, getrlimit, setrlimit};
--- a/cli/src/rig.rs
+++ b/cli/src/rig.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 
 use crate::print::{complain, end_live, live, say};
-use crate::{Exit, keeper, node_program};
+use crate::{Exit, keeper, node_program, own_program};
 
 /// Folders that one experiment's runs may have side by side.
 const MOST_RUNS: u32 = 10_000;
@@ -179,7 +179,15 @@
         if !self.quiet {
             say(&format!("{name}, seed {seed}: {}", experiment.question));
         }
-        let order = Order { name, experiment, seed, folder: folder.clone(), binary, keeper: keeper() };
+        let order = Order {
+            name,
+            experiment,
+            seed,
+            folder: folder.clone(),
+            binary,
+            own: own_program(),
+            keeper: keeper(),
+        };
         let quiet = self.quiet;
         let played = runtime.block_on(async {
             let told = told_to_stop()?;
--- a/cli/src/up.rs
+++ b/cli/src/up.rs
@@ -9,7 +9,7 @@
 
 use crate::print::{complain, end_live, live, say};
 use crate::rig::{runtime, told_to_stop};
-use crate::{Exit, keeper, node_program};
+use crate::{Exit, keeper, node_program, own_program};
 
 /// Start a small fleet on loopback, with emulated app servers, discovery and some traffic, until Ctrl-C.
 ///
@@ -23,6 +23,9 @@
     /// How many emulated app servers, in two zones
     #[arg(long, default_value_t = 8)]
     servers: u32,
+    /// How many replicas of the fleet's own registry; with 0 a stand-in tells the list
+    #[arg(long, default_value_t = 0)]
+    replicas: u32,
     /// Requests a second; half of what the servers can do if absent
     #[arg(long)]
     rps: Option<f64>,
@@ -42,6 +45,7 @@
     pub fn run(self) -> Exit {
         let mut experiment = Experiment::default();
         (experiment.fleet.nodes, experiment.fleet.servers) = (self.nodes, self.servers);
+        experiment.registry.replicas = self.replicas;
         experiment.load.rps = self.rps;
         experiment.run.log = Some("info".to_owned());
         if let Some(seconds) = self.seconds {
@@ -79,6 +83,7 @@
             experiment,
             seed: self.seed,
             binary,
+            own: own_program(),
             folder: folder.path().to_owned(),
             keeper: keeper(),
             folder_goes: true,
--- a/cli/tests/registry.rs
+++ b/cli/tests/registry/main.rs
@@ -1,5 +1,6 @@
 //! The registry as several processes of the program, with faults between them.
 
+mod history;
 mod site;
 
 use std::collections::BTreeSet;
--- a/model/src/ledger.rs
+++ b/model/src/ledger.rs
@@ -34,10 +34,18 @@
     ProcessBounds,
     /// Every process that was started has ended, and none ended by itself.
     ProcessesEnded,
+    /// What the registry acknowledged is there in the end.
+    RegistryKeeps,
+    /// No client of the registry is told an older version than it has seen.
+    RegistryForward,
+    /// Every client of the registry has the committed list in the end.
+    RegistrySame,
+    /// Nobody who renews is told of as gone.
+    RegistryBelieves,
 }
 
 /// All rules, in the order of a report.
-pub const RULES: [Rule; 9] = [
+pub const RULES: [Rule; 13] = [
     Rule::OneOutcome,
     Rule::RunsOnce,
     Rule::KeyedInGroup,
@@ -47,6 +55,10 @@
     Rule::KnownOnly,
     Rule::ProcessBounds,
     Rule::ProcessesEnded,
+    Rule::RegistryKeeps,
+    Rule::RegistryForward,
+    Rule::RegistrySame,
+    Rule::RegistryBelieves,
 ];
 
 impl Rule {
@@ -62,6 +74,10 @@
             Self::KnownOnly => "known_only",
             Self::ProcessBounds => "process_bounds",
             Self::ProcessesEnded => "processes_ended",
+            Self::RegistryKeeps => "registry_keeps",
+            Self::RegistryForward => "registry_forward",
+            Self::RegistrySame => "registry_same",
+            Self::RegistryBelieves => "registry_believes",
         }
     }
 }
--- a/model/src/plan.rs
+++ b/model/src/plan.rs
@@ -20,6 +20,10 @@
 pub const MOST_RPS: f64 = 1_000_000.0;
 /// Faults in a plan.
 pub const MOST_FAULTS: usize = 1_000;
+/// Replicas of a registry.
+pub const MOST_REPLICAS: u32 = 9;
+/// The replica that leads when a fault begins, as `who`.
+pub const LEADER: &str = "leader";
 
 /// A figure, or the range that it is drawn from: `5` or `[2, 8]`.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -133,6 +137,8 @@
     pub network: Network,
     /// The list service.
     pub discovery: Discovery,
+    /// The fleet's own registry; without replicas the stand-in of the protocol page tells the list.
+    pub registry: Registry,
     /// The figures of the rules.
     pub rules: Rules,
     /// Machine kinds; the usual three if none is named.
@@ -149,6 +155,43 @@
     pub faults: Vec<Fault>,
 }
 
+/// The fleet's own registry, in processes of its own, and who talks to it beside the nodes.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Registry {
+    /// How many replicas; 0 for none.
+    pub replicas: u32,
+    /// A lease lasts so long.
+    pub lease_ms: f64,
+    /// How often each instance renews.
+    pub renew_ms: f64,
+    /// Entries after which a replica compacts its log.
+    pub snapshot_every: u32,
+    /// Further instances, which register and renew. They are found at the app servers' addresses.
+    pub instances: u32,
+    /// Registrations a second, one after the other, of which each has to be there in the end.
+    pub writes_per_s: f64,
+    /// Clients that watch and keep account of what they are told, each with a replica of its own first.
+    pub watchers: u32,
+    /// Clients that watch the first replica, as many as that in each equal part of the run, while the list changes.
+    pub crowd: Vec<u32>,
+}
+
+impl Default for Registry {
+    fn default() -> Self {
+        Self {
+            replicas: 0,
+            lease_ms: 6000.0,
+            renew_ms: 1000.0,
+            snapshot_every: 2000,
+            instances: 0,
+            writes_per_s: 0.0,
+            watchers: 3,
+            crowd: Vec::new(),
+        }
+    }
+}
+
 /// Nodes, servers and zones.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -444,6 +487,12 @@
     RubbishDiscovery,
     /// The list service moves to another address, and the nodes are told by SIGHUP.
     MoveDiscovery,
+    /// A replica of the registry is killed, and started again after `for_s`.
+    KillReplica,
+    /// A replica is paused for `for_s`.
+    PauseReplica,
+    /// A replica is killed and its store is lost; it is started again after `for_s`.
+    LoseReplica,
     /// `factor` times the requests.
     Burst,
     /// One tenant asks for `factor` times as much.
@@ -463,7 +512,7 @@
     /// How long it lasts; to the end of the run if absent.
     #[serde(default)]
     pub for_s: Option<Range>,
-    /// One node or server by its name, or a zone by its name.
+    /// One node, server or replica by its name, a zone by its name, or `leader` for the replica that leads then.
     #[serde(default)]
     pub who: Option<String>,
     /// How many nodes or servers, drawn by the seed.
@@ -506,6 +555,7 @@
             | Self::FailServer
             | Self::BusyServer
             | Self::ReplaceServer => Picks::Servers,
+            Self::KillReplica | Self::PauseReplica | Self::LoseReplica => Picks::Replicas,
             Self::LoseZone => Picks::Zone,
             Self::CutLink | Self::DelayLink | Self::ThrottleLink | Self::ResetLink => Picks::Link,
             Self::FloodTenant => Picks::Tenant,
@@ -538,6 +588,8 @@
     Nodes,
     /// App servers, by `who`, `count` or `share`.
     Servers,
+    /// Replicas of the registry, by `who`, `count` or `share`.
+    Replicas,
     /// The zone that `who` names.
     Zone,
     /// What lies between `from` and `to`.
@@ -678,6 +730,22 @@
             between(&key("share"), Range::only(tenant.share), 0.0, 1.0)?;
             between(&key("usage"), tenant.usage, 0.0, 100.0)?;
         }
+        let registry = &self.registry;
+        if registry.replicas > MOST_REPLICAS || registry.replicas.is_multiple_of(2) && registry.replicas > 0 {
+            return problem(
+                "registry.replicas".into(),
+                format!("0, 1, 3, 5, 7 or {MOST_REPLICAS} is wanted"),
+            );
+        }
+        between("registry.lease_ms", Range::only(registry.lease_ms), 500.0, 600_000.0)?;
+        between("registry.renew_ms", Range::only(registry.renew_ms), 50.0, registry.lease_ms / 2.0)?;
+        between("registry.snapshot_every", Range::only(registry.snapshot_every.into()), 10.0, 1e6)?;
+        between("registry.instances", Range::only(registry.instances.into()), 0.0, 10_000.0)?;
+        between("registry.writes_per_s", Range::only(registry.writes_per_s), 0.0, 1000.0)?;
+        between("registry.watchers", Range::only(registry.watchers.into()), 0.0, 1000.0)?;
+        for watchers in &registry.crowd {
+            between("registry.crowd", Range::only((*watchers).into()), 1.0, 15_000.0)?;
+        }
         if self.faults.len() > MOST_FAULTS {
             return problem("fault".into(), format!("{MOST_FAULTS} at most, not {}", self.faults.len()));
         }
@@ -709,7 +777,7 @@
         let named = [fault.who.is_some(), fault.count.is_some(), fault.share.is_some()];
         let picked = named.iter().filter(|given| **given).count();
         match picks {
-            Picks::Nodes | Picks::Servers => {
+            Picks::Nodes | Picks::Servers | Picks::Replicas => {
                 if picked != 1 {
                     return problem("who", "one of who, count or share is wanted".into());
                 }
@@ -718,9 +786,14 @@
                 }
                 let (prefix, most) = match picks {
                     Picks::Nodes => ("n", self.fleet.nodes),
-                    _ => ("s", self.fleet.servers),
+                    Picks::Servers => ("s", self.fleet.servers),
+                    _ => ("r", self.registry.replicas),
                 };
-                if let Some(who) = &fault.who {
+                if picks == Picks::Replicas && most == 0 {
+                    return problem("what", "there is no registry: set registry.replicas".into());
+                }
+                let leads = picks == Picks::Replicas && fault.who.as_deref() == Some(LEADER);
+                if let Some(who) = fault.who.as_ref().filter(|_| !leads) {
                     let number = who.strip_prefix(prefix).and_then(|number| number.parse::<u32>().ok());
                     if number.is_none_or(|number| number >= most) {
                         return problem(
@@ -772,5 +845,6 @@
             || self.fleet.zones.iter().any(|zone| zone == name)
             || number("n").is_some_and(|number| number < self.fleet.nodes)
             || number("s").is_some_and(|number| number < self.fleet.servers)
+            || number("r").is_some_and(|number| number < self.registry.replicas)
     }
 }
--- a/model/src/timeline.rs
+++ b/model/src/timeline.rs
@@ -13,6 +13,11 @@
 /// The list service as the end of a link: it is in no zone.
 pub const DISCOVERY: (Party, u32) = (Party::Discovery, u32::MAX);
 
+/// A replica of the registry as the end of a link: it is in no zone either.
+pub const fn replica(number: usize) -> (Party, u32) {
+    (Party::Replica(number), u32::MAX)
+}
+
 /// An app server's process: its place, and the number under which the list has it.
 #[derive(Clone, Copy, Debug)]
 pub struct Instance {
@@ -150,7 +155,7 @@
         }
         let matches = |end: Party, party: (Party, u32)| match end {
             Party::All => true,
-            Party::Zone(zone) => party.1 == zone && party.0 != Party::Discovery,
+            Party::Zone(zone) => party.1 == zone,
             _ => end == party.0,
         };
         let mut found = None;
--- a/model/src/world.rs
+++ b/model/src/world.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha12Rng;
 use serde_json::{Value, json};
 
-use crate::plan::{Again, Effect, Fault, Picks, Plan, Range, Trouble};
+use crate::plan::{Again, Effect, Fault, LEADER, Picks, Plan, Range, Trouble};
 use crate::server::{CancelRule, Choke, Reporting, Spec};
 
 /// A second.
@@ -122,6 +122,8 @@
     Node(usize),
     /// An app server.
     Server(usize),
+    /// A replica of the registry.
+    Replica(usize),
     /// All nodes and servers of a zone.
     Zone(u32),
 }
@@ -163,6 +165,12 @@
     RubbishDiscovery,
     /// See [`Trouble::MoveDiscovery`].
     MoveDiscovery,
+    /// See [`Trouble::KillReplica`]; none for whichever leads.
+    KillReplica(Option<usize>),
+    /// See [`Trouble::PauseReplica`].
+    PauseReplica(Option<usize>),
+    /// See [`Trouble::LoseReplica`].
+    LoseReplica(Option<usize>),
     /// See [`Trouble::Burst`].
     Burst(f64),
     /// See [`Trouble::FloodTenant`].
@@ -223,6 +231,8 @@
     pub nodes: Vec<NodeInfo>,
     /// The app servers.
     pub servers: Vec<ServerInfo>,
+    /// Replicas of the fleet's own registry.
+    pub replicas: usize,
     /// The classes.
     pub classes: Vec<ClassInfo>,
     /// The tenants.
@@ -337,6 +347,7 @@
             silent: seconds(draw(rng, plan.discovery.silent_s)),
             rules,
             steps: Vec::new(),
+            replicas: plan.registry.replicas as usize,
             cold_from: cold,
             warm_after: seconds(warm),
         };
@@ -367,6 +378,9 @@
         if let Some(node) = number("n").filter(|node| *node < self.nodes.len()) {
             return Some(Party::Node(node));
         }
+        if let Some(replica) = number("r").filter(|replica| *replica < self.replicas) {
+            return Some(Party::Replica(replica));
+        }
         number("s").filter(|server| *server < self.servers.len()).map(Party::Server)
     }
 
@@ -452,8 +466,16 @@
         let targets = match fault.what.picks() {
             Picks::Nodes => pick(rng, "n", self.nodes.iter().map(|node| node.zone).collect()),
             Picks::Servers => pick(rng, "s", self.servers.iter().map(|server| server.spec.zone).collect()),
+            Picks::Replicas => pick(rng, "r", vec![u32::MAX; self.replicas]),
             _ => Vec::new(),
         };
+        let replicas = |targets: Vec<usize>, act: &dyn Fn(Option<usize>) -> Act| {
+            if fault.who.as_deref() == Some(LEADER) {
+                one(act(None))
+            } else {
+                each(targets, &|at| act(Some(at)))
+            }
+        };
         let named = |names: &[&String]| names.iter().position(|name| Some(*name) == fault.who.as_ref());
         match fault.what {
             Trouble::KillNode => each(targets, &Act::KillNode),
@@ -479,6 +501,9 @@
             Trouble::BusyDiscovery => one(Act::BusyDiscovery(factor)),
             Trouble::RubbishDiscovery => one(Act::RubbishDiscovery),
             Trouble::MoveDiscovery => one(Act::MoveDiscovery),
+            Trouble::KillReplica => replicas(targets, &Act::KillReplica),
+            Trouble::PauseReplica => replicas(targets, &Act::PauseReplica),
+            Trouble::LoseReplica => replicas(targets, &Act::LoseReplica),
             Trouble::Burst => one(Act::Burst(factor)),
             Trouble::FloodTenant => {
                 let tenant = named(&self.tenants.iter().map(|tenant| &tenant.name).collect::<Vec<_>>());
--- a/rig/src/experiment.rs
+++ b/rig/src/experiment.rs
@@ -5,7 +5,8 @@
 use std::path::{Path, PathBuf};
 
 use flaxdale_model::plan::{
-    Class, Discovery, Fault, Fleet, Kind, Load, MOST_SECONDS, Network, Plan, Rules, Tenant, Trouble,
+    Class, Discovery, Fault, Fleet, Kind, Load, MOST_SECONDS, Network, Picks, Plan, Registry, Rules, Tenant,
+    Trouble,
 };
 use serde::{Deserialize, Serialize};
 use toml::de::{DeTable, DeValue};
@@ -85,6 +86,8 @@
     pub network: Network,
     /// See [`Plan::discovery`].
     pub discovery: Discovery,
+    /// See [`Plan::registry`].
+    pub registry: Registry,
     /// See [`Plan::rules`].
     pub rules: Rules,
     /// See [`Plan::kinds`].
@@ -159,6 +162,7 @@
             load: self.load.clone(),
             network: self.network.clone(),
             discovery: self.discovery.clone(),
+            registry: self.registry.clone(),
             rules: self.rules.clone(),
             kinds: self.kind.clone(),
             classes: self.class.clone(),
@@ -202,7 +206,32 @@
         if !(0.0..=1000.0).contains(&run.tick_ms) {
             return problem("run.tick_ms", "0 to 1000 is wanted".into());
         }
+        if run.on == On::Virtual && self.registry.replicas > 0 {
+            return problem("registry.replicas", "virtual time has no processes: play it on sockets".into());
+        }
         for (number, fault) in self.fault.iter().enumerate() {
+            let of_registry = |end: &Option<String>| {
+                let number = end.as_deref().and_then(|end| end.strip_prefix('r'));
+                number.is_some_and(|number| number.parse::<u32>().is_ok())
+            };
+            let link = fault.what.picks() == Picks::Link;
+            if self.registry.replicas > 0 && link && !of_registry(&fault.from) && !of_registry(&fault.to) {
+                let text =
+                    "the registry tells all nodes one address of a server: one end has to be a replica";
+                return problem(&format!("fault[{number}].from"), text.to_owned());
+            }
+            let stand_in = matches!(
+                fault.what,
+                Trouble::LateDiscovery
+                    | Trouble::SilentDiscovery
+                    | Trouble::BusyDiscovery
+                    | Trouble::RubbishDiscovery
+                    | Trouble::MoveDiscovery
+            );
+            if self.registry.replicas > 0 && stand_in {
+                let text = "concerns the stand-in of the list service, and this fleet has its own registry";
+                return problem(&format!("fault[{number}].what"), text.to_owned());
+            }
             if run.on == On::Virtual && matches!(fault.what, Trouble::MoveDiscovery | Trouble::RudeClients) {
                 let text = "virtual time has neither addresses nor parsers: play it on sockets".to_owned();
                 return problem(&format!("fault[{number}].what"), text);
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -6,7 +6,8 @@
 //! [`experiment`] reads what is to be played, [`play`] plays it and writes the results, [`compare`] holds two results
 //! against each other. On sockets [`sockets`] runs the parties: [`servers`] (emulated app servers), [`agents`] (the list
 //! service), [`relay`] (links that can be cut), [`callers`] (clients) and [`nodes`] (the real processes), which
-//! [`keeper`] ends if the rig can't.
+//! [`keeper`] ends if the rig can't. Where a fleet has its own registry, [`registry`] plays it: [`replicas`] are its processes, [`registrants`] who
+//! registers there, and [`watchers`] clients that keep account of what it tells.
 
 pub mod agents;
 pub mod callers;
@@ -18,10 +19,14 @@
 pub mod nodes;
 pub mod play;
 pub mod rank;
+pub mod registrants;
+pub mod registry;
 pub mod relay;
+pub mod replicas;
 pub mod report;
 pub mod result;
 pub mod servers;
 pub mod shared;
 pub mod sockets;
+pub mod watchers;
 pub mod wire;
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -112,6 +112,8 @@
     at: Mutex<Option<SocketAddr>>,
     /// Its port is its own also while it is down.
     port: Mutex<Option<Port>>,
+    /// Its fleet file, if it has one.
+    fleet: Option<PathBuf>,
     starts: Mutex<u32>,
 }
 
@@ -128,10 +130,10 @@
 
 impl NodeProcess {
     /// A node that has not started yet.
-    pub fn new(program: Arc<Program>, shared: Arc<Shared>, number: usize) -> Self {
+    pub fn new(program: Arc<Program>, shared: Arc<Shared>, number: usize, fleet: Option<PathBuf>) -> Self {
         let name = shared.world.nodes[number].name.clone();
         let (life, at, port, starts) = Default::default();
-        Self { number, name, program, shared, life, at, port, starts }
+        Self { number, name, program, shared, life, at, port, fleet, starts }
     }
 
     /// Where it listens, once it has.
@@ -175,7 +177,11 @@
         let mut log = OpenOptions::new().create(true).append(true).open(&file).map_err(of_file(&file))?;
         let begins = log.seek(SeekFrom::End(0)).map_err(of_file(&file))?;
         let errors = log.try_clone().map_err(of_file(&file))?;
-        let child = Command::new(&self.program.binary)
+        let mut command = Command::new(&self.program.binary);
+        if let Some(fleet) = &self.fleet {
+            command.env("EDGE_FLEET", fleet);
+        }
+        let child = command
             .env("EDGE_CONFIG", self.config())
             .env("EDGE_NAME", name)
             .env("EDGE_LISTEN", listen.to_string())
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -36,6 +36,8 @@
     pub folder: PathBuf,
     /// The node's program.
     pub binary: PathBuf,
+    /// The program that runs replicas of the registry.
+    pub own: PathBuf,
     /// This program, asked to run the keeper.
     pub keeper: Option<Command>,
 }
@@ -95,6 +97,7 @@
         experiment: experiment.clone(),
         seed,
         binary: order.binary,
+        own: order.own,
         folder: order.folder,
         keeper: order.keeper,
         folder_goes: false,
@@ -120,6 +123,7 @@
         measures
             .insert("improper_peers_left_waiting_share".to_owned(), ran.rude.1 as f64 / ran.rude.0 as f64);
     }
+    measures.extend(ran.registry.clone());
     let invariants = lock(&shared.book).ledger.invariants().to_vec();
     let late = lateness > experiment.run.lateness_ms;
     let reason = if late {
--- a/rig/src/servers.rs
+++ b/rig/src/servers.rs
@@ -63,6 +63,10 @@
     machine: watch::Sender<Machine>,
     wake: Notify,
     next_job: AtomicU64,
+    /// When its process started, if that was after the run began.
+    began: Mutex<Option<Nanos>>,
+    /// Whether it is to drain.
+    leaves: AtomicBool,
 }
 
 /// Whether a process is there from the start.
@@ -94,6 +98,8 @@
             machine: watch::Sender::new(machine),
             wake: Notify::new(),
             next_job: AtomicU64::new(0),
+            began: Mutex::default(),
+            leaves: AtomicBool::new(false),
         });
         tokio::spawn(own.clone().take_connections(door, machine));
         tokio::spawn(own.clone().keep_time());
@@ -122,6 +128,7 @@
     pub fn start(&self) {
         let held = lock(&self.inside).server.start(self.shared.clock.now(), true);
         self.lost(&held);
+        *lock(&self.began) = Some(self.shared.clock.now());
         self.machine.send_replace(Machine::Up);
     }
 
@@ -144,6 +151,26 @@
         self.machine.send_if_modified(change);
     }
 
+    /// It is told to drain; what it has to do about that is its own part towards the registry.
+    pub fn drain(&self) {
+        self.leaves.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it was told to drain.
+    pub fn leaves(&self) -> bool {
+        self.leaves.load(Ordering::Relaxed)
+    }
+
+    /// Whether its process runs and its machine speaks.
+    pub fn speaks(&self) -> bool {
+        self.is_up() && *self.machine.borrow() == Machine::Up
+    }
+
+    /// When its process started, if that was after the run began.
+    pub fn began(&self) -> Option<Nanos> {
+        *lock(&self.began)
+    }
+
     /// Whether its process runs.
     pub fn is_up(&self) -> bool {
         lock(&self.inside).server.is_up()
--- a/rig/src/sockets.rs
+++ b/rig/src/sockets.rs
@@ -1,5 +1,6 @@
 //! An experiment on sockets: real node processes between emulated app servers, agents and clients, with faults.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::Command;
@@ -26,6 +27,7 @@
 use crate::experiment::Experiment;
 use crate::keeper::Keeper;
 use crate::nodes::{NodeError, NodeProcess, Program};
+use crate::registry::Registry;
 use crate::relay::{End, Link, MOST_LINKS};
 use crate::servers::{AppServer, First};
 use crate::shared::{Shared, lock};
@@ -50,6 +52,8 @@
     pub seed: u64,
     /// The node's program.
     pub binary: PathBuf,
+    /// The program that runs replicas of the registry.
+    pub own: PathBuf,
     /// A folder that exists, for the logs and configurations.
     pub folder: PathBuf,
     /// This program, asked to run the keeper.
@@ -97,6 +101,8 @@
     pub cpu_ms: f64,
     /// For how long requests came, in seconds.
     pub load_s: f64,
+    /// What the fleet's own registry came to.
+    pub registry: BTreeMap<String, f64>,
 }
 
 /// Why a run came to nothing.
@@ -113,6 +119,9 @@
         /// Why it was not given.
         source: std::io::Error,
     },
+    /// The registry did not start.
+    #[error("the registry: {0}")]
+    Registry(String),
     /// More links than a run may have.
     #[error("the faults concern {0} links, and {MOST_LINKS} is the most: name fewer parties")]
     Links(usize),
@@ -125,6 +134,7 @@
     /// Where each node finds its agent, at the start of the run; a link may stand between.
     discovery: Vec<SocketAddr>,
     nodes: Vec<Arc<NodeProcess>>,
+    registry: Option<Arc<Registry>>,
     callers: Arc<Callers>,
     front_notice: Duration,
     most_memory: AtomicU64,
@@ -206,12 +216,31 @@
         memory_mb: experiment.run.memory_mb,
         keeper,
     });
-    let nodes: Vec<Arc<NodeProcess>> = (0..shared.world.nodes.len())
-        .map(|number| Arc::new(NodeProcess::new(program.clone(), shared.clone(), number)))
-        .collect();
+    let zone_of = |party: Party| match party {
+        Party::Node(node) => shared.world.nodes[node].zone,
+        _ => u32::MAX,
+    };
+    let concerns = |one: Party, other: Party| {
+        faulted.iter().any(|fault| fault.concerns((one, zone_of(one)), (other, zone_of(other))))
+    };
+    let registry = if plan.registry.replicas > 0 {
+        let (plan, program, folder) = (&plan.registry, program.clone(), &stage.folder);
+        let prepared =
+            Registry::prepare(plan, stage.own, program, shared.clone(), folder, &servers, concerns);
+        Some(prepared.map_err(machine("the registry's files and ports"))?)
+    } else {
+        None
+    };
+    let mut nodes: Vec<Arc<NodeProcess>> = Vec::new();
+    for number in 0..shared.world.nodes.len() {
+        let fleet = registry.as_ref().map(|registry| registry.fleet_file(number, &configs, concerns));
+        let fleet = fleet.transpose().map_err(machine("a fleet file"))?;
+        nodes.push(Arc::new(NodeProcess::new(program.clone(), shared.clone(), number, fleet)));
+    }
     let notice = FRONT_NOTICE.at(stream(shared.world.seed, 12).random());
     let run = Arc::new(Run {
         callers: Callers::new(shared.clone()),
+        registry,
         servers,
         agents,
         discovery,
@@ -223,6 +252,13 @@
         nodes,
         shared: shared.clone(),
     });
+    if let Some(registry) = &run.registry {
+        let patience = Duration::from_secs_f64(experiment.run.ready_s);
+        if let Err(problem) = registry.start(&run.servers, patience).await {
+            registry.end().await;
+            return Err(RunError::Registry(problem));
+        }
+    }
     if let Err(error) = run.start_all().await {
         run.end_all().await;
         return Err(error.into());
@@ -231,8 +267,15 @@
     shared.begin(start, Ledger::new(limits, start));
     run.callers.begin(start);
     let span = if stage.endless { Nanos::MAX / 4 } else { seconds(experiment.run.seconds) };
+    if let Some(registry) = &run.registry {
+        registry.begin(start, span).await;
+    }
     run.clone().carry(start.saturating_add(span), stop, progress).await;
     let load_s = shared.at_ms(clock.now()) / 1000.0;
+    let registry = match &run.registry {
+        Some(registry) => registry.settle().await,
+        None => BTreeMap::new(),
+    };
     run.end_all().await;
     // Configurations are the run's own; logs stay.
     let _ = std::fs::remove_dir_all(&configs);
@@ -244,6 +287,7 @@
         most: (run.most_memory.load(Ordering::Relaxed), run.most_descriptors.load(Ordering::Relaxed)),
         cpu_ms: ticks as f64 * HUNDREDTH_MS,
         load_s,
+        registry,
         shared,
     })
 }
@@ -311,9 +355,10 @@
     async fn start_node(&self, node: usize) -> Result<(), NodeError> {
         let agent = &self.agents[node];
         lock(&self.shared.drains[node]).clear();
+        let known = if self.registry.is_some() { json!(null) } else { agent.list() };
         // An agent that has moved is found at its new address, without the link that stood before the old one.
         let at = if agent.has_moved() { agent.at() } else { self.discovery[node] };
-        self.nodes[node].start(at, agent.list()).await?;
+        self.nodes[node].start(at, known).await?;
         let place = &self.callers.places[node];
         *lock(&place.at) = self.nodes[node].at();
         place.open.store(true, Ordering::Relaxed);
@@ -339,6 +384,9 @@
             });
         }
         while ending.join_next().await.is_some() {}
+        if let Some(registry) = &self.registry {
+            registry.end().await;
+        }
         let left: Vec<u32> = self.nodes.iter().filter_map(|node| node.pid()).collect();
         for pid in left {
             let what = "still there after the run".to_owned();
@@ -380,6 +428,7 @@
             for node in &self.nodes {
                 self.look_at(node);
             }
+            self.registry.iter().for_each(|registry| registry.look_at());
         }
     }
 
@@ -543,6 +592,14 @@
                     }
                 }
             }
+            Act::ReplaceServer(server) if begins && self.registry.is_some() => {
+                self.on_server(server, AppServer::drain);
+            }
+            Act::KillReplica(_) | Act::PauseReplica(_) | Act::LoseReplica(_) => {
+                if let Some(registry) = &self.registry {
+                    registry.act(act, begins).await;
+                }
+            }
             Act::MoveDiscovery if begins => {
                 for (agent, node) in self.agents.iter().zip(&self.nodes) {
                     let moved = agent.relocate().map_err(|error| error.to_string());
