Let operators drain, share and return zones, and name the regions they lie in

A zone that has to be taken out of service could only be emptied server by server by the list, and all other zones were as near as each other. Nothing told nodes what an operator knows.

The fleet file names of a zone its region and the share of the requests that it may be given; nodes read it at their start and at SIGHUP. A node that starts has the ordered shares at once. Orders that make no sense are refused with their reason and the last good ones stand. `flaxdale zone drain|return|share|region|show` writes the file (toml_edit, which keeps its comments) or refuses; `config check` knows fleet files and replicas' settings. `order-zone` plays it on sockets and in virtual time.

No zone is judged by the nodes themselves yet.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod registry;
 mod rig;
 mod up;
+mod zone;
 
 use std::path::PathBuf;
 use std::process::{Command, ExitCode};
@@ -36,6 +37,9 @@
     /// Keep the list of app servers, in one replica or several, and ask them
     #[command(subcommand)]
     Registry(registry::Registry),
+    /// Order what zones may be given, in a fleet file
+    #[command(subcommand)]
+    Zone(zone::Zone),
     /// Check files
     #[command(subcommand)]
     Config(Config),
@@ -122,6 +126,7 @@
         Task::Up(up) => up.run(),
         Task::Rig(rig) => rig.run(),
         Task::Registry(registry) => registry.run(),
+        Task::Zone(zone) => zone.run(),
         Task::Config(Config::Check { file }) => check::check(&file),
         Task::Keeper => {
             flaxdale_rig::keeper::keep(std::io::stdin().lock());
--- a/cli/tests/rig.rs
+++ b/cli/tests/rig.rs
@@ -347,6 +347,24 @@
         vec!["rig", "rank", "--help"],
         vec!["rig", "compare", "--help"],
         vec!["config", "check", "--help"],
+        vec!["registry", "--help"],
+        vec!["registry", "serve", "--help"],
+        vec!["registry", "status", "--help"],
+        vec!["registry", "list", "--help"],
+        vec!["registry", "drain", "--help"],
+        vec!["registry", "leave", "--help"],
+        vec!["registry", "suspects", "--help"],
+        vec!["registry", "backup", "--help"],
+        vec!["registry", "restore", "--help"],
+        vec!["registry", "add", "--help"],
+        vec!["registry", "remove", "--help"],
+        vec!["registry", "lead", "--help"],
+        vec!["zone", "--help"],
+        vec!["zone", "drain", "--help"],
+        vec!["zone", "return", "--help"],
+        vec!["zone", "share", "--help"],
+        vec!["zone", "region", "--help"],
+        vec!["zone", "show", "--help"],
     ] {
         let output = flaxdale().args(&arguments).output().expect("an answer");
         assert_eq!(output.status.code(), Some(0), "{arguments:?}");
@@ -366,6 +384,17 @@
         vec!["rig", "rank", "nowhere.toml", "--build", "a=own"],
         vec!["config", "check", "nowhere.toml"],
         vec!["config", "check", "nowhere.txt"],
+        vec!["registry"],
+        vec!["registry", "serve", "--config", "nowhere.toml"],
+        vec!["registry", "serve", "--listen", "here"],
+        vec!["registry", "status", "--at", "here"],
+        vec!["registry", "status", "--fleet-file", "nowhere.toml"],
+        vec!["registry", "suspects", "a", "perhaps"],
+        vec!["registry", "restore", "nowhere.json"],
+        vec!["registry", "add", "here"],
+        vec!["zone", "drain", "nowhere.toml", "a"],
+        vec!["zone", "share", "nowhere.toml", "a", "half"],
+        vec!["zone", "show", "nowhere.toml"],
     ] {
         let output = flaxdale().args(&arguments).output().expect("an answer");
         assert_eq!(output.status.code(), Some(2), "{arguments:?}: {}", words(&output.stderr));
@@ -414,3 +443,88 @@
         assert!(code == Some(2) && text.contains(told), "{key}: {text}");
     }
 }
+
+#[test]
+fn a_fleet_with_its_own_registry_is_played_and_its_word_is_held_to() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().join("out");
+    let output = play(&experiment("short-registry"), &out, &[]);
+    assert_eq!(output.status.code(), Some(0), "{}", words(&output.stderr));
+    let used = checked(&out);
+    for rule in ["one_outcome", "runs_once", "registry_keeps", "registry_forward", "registry_same"] {
+        assert!(used.iter().any(|name| name == rule), "{rule} was never checked");
+    }
+    let measures = &result(&out)["measures"];
+    assert!(measures["registry_writes"].as_f64() > Some(3.0), "{measures}");
+    assert!(measures["served_in_time_share"].as_f64() > Some(0.3), "{measures}");
+    let happened = events(&out);
+    let count = |kind: &str| happened.iter().filter(|event| event["kind"] == kind).count();
+    assert_eq!(count("replica-started"), 4, "three replicas, and one of them again");
+    assert!(happened.iter().all(|event| event["kind"] != "rig-trouble"), "{happened:?}");
+    // Every node took the drain, and the return.
+    for node in ["n0", "n1", "n2"] {
+        let log = std::fs::read_to_string(out.join(format!("logs/{node}.log"))).expect("a log");
+        let ordered = |share: &str| {
+            log.lines().any(|line| line.contains("\"message\":\"ordered\"") && line.contains(share))
+        };
+        assert!(ordered("\"share\":0.0") && ordered("\"share\":1.0"), "{node}: {log}");
+    }
+    assert_eq!(of_folder(&out), Vec::<u32>::new(), "no process is left");
+}
+
+#[test]
+fn an_operators_orders_are_written_whole_or_refused_with_their_reason() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("fleet.toml");
+    let text = "# ours\n[registry]\naddresses = [\"127.0.0.1:7200\"] # one\n";
+    std::fs::write(&file, text).expect("written");
+    let zone = |arguments: &[&str]| {
+        let (verb, rest) = arguments.split_first().expect("a verb");
+        let output = flaxdale().args(["zone", verb]).arg(&file).args(rest).output().expect("an answer");
+        (output.status.code(), words(&output.stdout) + &words(&output.stderr))
+    };
+    assert!(zone(&["show"]).1.contains("nothing is ordered"));
+    assert_eq!(zone(&["drain", "a"]).0, Some(0));
+    assert_eq!(zone(&["region", "a", "north"]).0, Some(0));
+    assert_eq!(zone(&["share", "b", "0.25"]).0, Some(0));
+    let shown = zone(&["show"]).1;
+    assert!(
+        shown.contains("a") && shown.contains("0.0%") && shown.contains("25.0%") && shown.contains("north")
+    );
+    let after = std::fs::read_to_string(&file).expect("it");
+    assert!(after.starts_with(text), "what stood there stays, comments too: {after}");
+    let (code, told) = zone(&["share", "b", "7"]);
+    assert!(code == Some(2) && told.contains("zones.b.share: a share from 0 to 1"), "{told}");
+    assert_eq!(std::fs::read_to_string(&file).expect("it"), after, "nothing is written then");
+    assert_eq!(zone(&["return", "a"]).0, Some(0));
+    let checked = flaxdale().args(["config", "check"]).arg(&file).output().expect("an answer");
+    assert_eq!(checked.status.code(), Some(0), "{}", words(&checked.stderr));
+    std::fs::write(&file, "[zones").expect("written");
+    assert_eq!(zone(&["drain", "a"]).0, Some(2));
+    let nowhere = flaxdale().args(["zone", "drain", "nowhere.toml", "a"]).output().expect("an answer");
+    assert_eq!(nowhere.status.code(), Some(2));
+}
+
+#[test]
+fn a_replicas_settings_and_a_fleet_file_are_checked() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("some.toml");
+    for (text, code, told) in [
+        ("data = \"d\"\nlisten = \"127.0.0.1:7200\"\n", 0, "settings of a replica"),
+        ("data = \"d\"\nlease_ms = 3\n", 2, "2: lease_ms: 500 to 600000"),
+        ("data = \"d\"\nleese_ms = 3\n", 2, "2: unknown field `leese_ms`"),
+        ("[registry]\naddresses = [\"127.0.0.1:7200\"]\n", 0, "a registry of 1 replicas"),
+        ("[registry]\naddresses = []\n", 2, "2: registry.addresses: 1 to 9"),
+    ] {
+        std::fs::write(&file, text).expect("written");
+        let output = flaxdale().args(["config", "check"]).arg(&file).output().expect("an answer");
+        let said = words(&output.stdout) + &words(&output.stderr);
+        assert_eq!(output.status.code(), Some(code), "{text}: {said}");
+        assert!(said.contains(told), "{text}: {said}");
+        let arguments = ["registry", "serve", "--config"];
+        if code == 2 && text.starts_with("data") {
+            let output = flaxdale().args(arguments).arg(&file).output().expect("an answer");
+            assert_eq!(output.status.code(), Some(2), "{}", words(&output.stderr));
+        }
+    }
+}
--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -1,5 +1,6 @@
 //! The fleet file: TOML, checked whole before anything is taken from it. A problem is told with its file, line and key.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -9,6 +10,10 @@
 
 /// A file larger than this is none.
 const MOST_BYTES: u64 = 1024 * 1024;
+/// Zones, and bytes of a name, at most.
+pub const MOST_ZONES: usize = 64;
+/// See [`MOST_ZONES`].
+pub const MOST_NAME: usize = 128;
 /// Replicas of one registry at most.
 pub const MOST_REPLICAS: usize = 9;
 
@@ -18,6 +23,24 @@
 pub struct Fleet {
     /// The registry, if it has one.
     pub registry: Option<Registry>,
+    /// What is ordered of zones, by their names; the others are open.
+    pub zones: BTreeMap<String, Zone>,
+}
+
+/// What is ordered of a zone.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Zone {
+    /// The region that it lies in: zones of one name are near to each other.
+    pub region: String,
+    /// Part of the requests that would go there which it may be given, 0 to 1.
+    pub share: f64,
+}
+
+impl Default for Zone {
+    fn default() -> Self {
+        Self { region: String::new(), share: 1.0 }
+    }
 }
 
 /// Where the registry is.
@@ -54,7 +77,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Problem {
     /// The key, as `registry.addresses`.
-    pub key: &'static str,
+    pub key: String,
     /// What would be right.
     pub text: String,
 }
@@ -74,7 +97,7 @@
     let parsed: T = toml::from_str(&text)
         .map_err(|error| fail(error.span().map(|span| line_of(span.start)), error.message().to_owned()))?;
     check(&parsed).map_err(|problem| {
-        let last = problem.key.rsplit('.').next().unwrap_or(problem.key);
+        let last = problem.key.rsplit('.').next().unwrap_or(&problem.key);
         let holds_key = |line: &str| {
             line.split_once('=').is_some_and(|(key, _)| key.trim() == last)
                 || line.trim_matches(['[', ']', ' ']) == problem.key
@@ -93,8 +116,20 @@
 
     /// Whether it makes sense.
     pub fn check(&self) -> Result<(), Problem> {
+        let wrong = |key: &str, text: String| Err(Problem { key: key.to_owned(), text });
+        if self.zones.len() > MOST_ZONES {
+            return wrong("zones", format!("{MOST_ZONES} at most"));
+        }
+        for (name, zone) in &self.zones {
+            if name.len().max(zone.region.len()) > MOST_NAME {
+                return wrong("zones", format!("names have {MOST_NAME} bytes at most"));
+            }
+            if !(0.0..=1.0).contains(&zone.share) {
+                return wrong(&format!("zones.{name}.share"), "a share from 0 to 1 is wanted".to_owned());
+            }
+        }
         let Some(registry) = &self.registry else { return Ok(()) };
-        let problem = |text: String| Err(Problem { key: "registry.addresses", text });
+        let problem = |text: String| wrong("registry.addresses", text);
         let addresses = &registry.addresses;
         if addresses.is_empty() || addresses.len() > MOST_REPLICAS {
             return problem(format!("1 to {MOST_REPLICAS} addresses are wanted"));
--- a/model/src/plan.rs
+++ b/model/src/plan.rs
@@ -493,6 +493,8 @@
     PauseReplica,
     /// A replica is killed and its store is lost; it is started again after `for_s`.
     LoseReplica,
+    /// The operator orders that a zone gets the part `factor` of its requests, and all of them again after `for_s`.
+    OrderZone,
     /// `factor` times the requests.
     Burst,
     /// One tenant asks for `factor` times as much.
@@ -556,7 +558,7 @@
             | Self::BusyServer
             | Self::ReplaceServer => Picks::Servers,
             Self::KillReplica | Self::PauseReplica | Self::LoseReplica => Picks::Replicas,
-            Self::LoseZone => Picks::Zone,
+            Self::LoseZone | Self::OrderZone => Picks::Zone,
             Self::CutLink | Self::DelayLink | Self::ThrottleLink | Self::ResetLink => Picks::Link,
             Self::FloodTenant => Picks::Tenant,
             _ => Picks::Nothing,
@@ -574,6 +576,7 @@
             Self::ResetLink => ("the chance in a second, 0 to 1", 0.0, 1.0),
             Self::LateDiscovery => ("seconds, 0 to 60", 0.0, 60.0),
             Self::BusyDiscovery => ("the share turned away, 0 to 1", 0.0, 1.0),
+            Self::OrderZone => ("a share, 0 to 1", 0.0, 1.0),
             Self::Burst | Self::FloodTenant => ("times as much, 0 to 100", 0.0, 100.0),
             Self::RudeClients => ("connections a second, 0 to 1000", 0.0, 1000.0),
             _ => return None,
--- a/model/src/shard/mod.rs
+++ b/model/src/shard/mod.rs
@@ -96,6 +96,8 @@
     Timer { node: u32, life: u32, token: u64 },
     /// A node is told of changes of the list.
     Told { node: u32, life: u32 },
+    /// A node is told of the operator's orders.
+    Ordered { node: u32, life: u32 },
     /// A request reaches a server.
     Offered(Sent),
     /// A server learns that an attempt was given up: its connection has closed.
@@ -401,6 +403,12 @@
                     self.read_list(node);
                 }
             }
+            What::Ordered { node, life } => {
+                if self.awake(node, life, || What::Ordered { node, life }) {
+                    let orders = self.common.timeline.orders(self.now);
+                    self.tell(node, Event::Zones(orders));
+                }
+            }
             What::Offered(sent) => self.offered(sent),
             What::Withdrawn { instance, job } => {
                 if let Some(server) = self.servers.get_mut(&instance) {
--- a/model/src/shard/processes.rs
+++ b/model/src/shard/processes.rs
@@ -23,6 +23,10 @@
             return;
         }
         self.tell(node, Event::Start);
+        let orders = common.timeline.orders(self.now);
+        if !orders.is_empty() {
+            self.tell(node, Event::Zones(orders));
+        }
         // It comes with the list as it was when it was last told, and gets what is new when its next word is due.
         let (members, cursor, drains) = self.list_at(self.now.saturating_sub(SECOND));
         let known = &mut self.nodes[node as usize];
--- a/model/src/shard/troubles.rs
+++ b/model/src/shard/troubles.rs
@@ -65,6 +65,14 @@
                     }
                 }
             }
+            Act::OrderZone(..) => {
+                for node in 0..self.nodes.len() as u32 {
+                    // A file reaches the machines of a fleet one after the other.
+                    let after = self.rng.random_range(0..SECOND);
+                    let life = self.nodes[node as usize].life;
+                    self.push(self.now + after, What::Ordered { node, life });
+                }
+            }
             Act::Burst(factor) => {
                 let factor = if begins { factor } else { 1.0 };
                 self.clients.iter_mut().for_each(|clients| clients.burst(factor));
--- a/model/src/timeline.rs
+++ b/model/src/timeline.rs
@@ -1,7 +1,7 @@
 //! What a world's troubles mean over time for everybody: which processes there will be, what the list will say and
 //! when, and what the links do. All of it is known before a run starts, so that every zone can look it up.
 
-use brookfield::{BackendId, Member, Nanos, Stage, ZoneId};
+use brookfield::{BackendId, Member, Nanos, Stage, ZoneId, ZoneOrder};
 
 use crate::world::{Act, LinkTrouble, Party, SECOND, Step, World};
 
@@ -175,6 +175,21 @@
         found
     }
 
+    /// What is ordered of each zone that any order names at all, now.
+    pub fn orders(&self, now: Nanos) -> Vec<ZoneOrder> {
+        let mut orders: Vec<ZoneOrder> = Vec::new();
+        for step in &self.steps {
+            let Act::OrderZone(zone, share) = step.act else { continue };
+            let stands = step.at <= now && step.until.is_none_or(|until| now < until);
+            let share = if stands { share } else { 1.0 };
+            match orders.iter_mut().find(|order| order.zone == ZoneId(zone)) {
+                Some(order) => order.share = order.share.min(share),
+                None => orders.push(ZoneOrder { zone: ZoneId(zone), region: 0, share }),
+            }
+        }
+        orders
+    }
+
     /// The share of calls that the list service turns away now.
     pub fn turned_away(&self, now: Nanos) -> f64 {
         let share = |step: &Step| match step.act {
--- a/model/src/world.rs
+++ b/model/src/world.rs
@@ -171,6 +171,8 @@
     PauseReplica(Option<usize>),
     /// See [`Trouble::LoseReplica`].
     LoseReplica(Option<usize>),
+    /// See [`Trouble::OrderZone`]; the zone and its share.
+    OrderZone(u32, f64),
     /// See [`Trouble::Burst`].
     Burst(f64),
     /// See [`Trouble::FloodTenant`].
@@ -504,6 +506,10 @@
             Trouble::KillReplica => replicas(targets, &Act::KillReplica),
             Trouble::PauseReplica => replicas(targets, &Act::PauseReplica),
             Trouble::LoseReplica => replicas(targets, &Act::LoseReplica),
+            Trouble::OrderZone => {
+                let zone = named(&self.zones.iter().collect::<Vec<_>>());
+                zone.map_or(Vec::new(), |zone| one(Act::OrderZone(zone as u32, factor)))
+            }
             Trouble::Burst => one(Act::Burst(factor)),
             Trouble::FloodTenant => {
                 let tenant = named(&self.tenants.iter().map(|tenant| &tenant.name).collect::<Vec<_>>());
--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -21,9 +21,10 @@
 
 use brookfield::{
     Action, Arrival, BackendId, Balancer, ClassId, Discovery, Effect, Event, ListScope, Nanos, Note, Outcome,
-    RequestId, Settings, SettingsError, Settlement,
+    RequestId, Settings, SettingsError, Settlement, ZoneId, ZoneOrder,
 };
 use brookfield_settings::Words;
+use flaxdale_fleet::file::Fleet;
 use tokio::sync::{Notify, oneshot};
 
 use backends::Backends;
@@ -176,6 +177,11 @@
         self.tell(|driver, errands| driver.fleet(scope, list, errands));
     }
 
+    /// Takes the fleet file's orders on zones. None is taken if one makes no sense here; the text says why.
+    pub fn order(&self, fleet: &Fleet) -> Result<(), String> {
+        self.tell(|driver, errands| driver.order(fleet, errands))
+    }
+
     /// A call to discovery has failed. A wish for one from before that, such as the one at the start, has been
     /// met by this call: kept, it would have the next call made at once, by all nodes that started together.
     pub fn fleet_failed(&self) {
@@ -309,6 +315,9 @@
                 let backend = self.backends.uid(backend);
                 tracing::info!(backend, cause = ?cause, span_ms = span / 1_000_000, "backend ejected");
             }
+            Note::Share { zone, percent } => {
+                tracing::info!(zone = self.words.zone_name(zone), percent, "the zone has its ordered share");
+            }
             Note::Readmitted { backend } => {
                 tracing::info!(backend = self.backends.uid(backend), "backend readmitted");
             }
@@ -429,6 +438,33 @@
         self.requests.forget_if_done(request);
     }
 
+    fn order(&mut self, fleet: &Fleet, errands: &mut Errands) -> Result<(), String> {
+        let known: Vec<&str> =
+            (0..self.settings.zones).map(|zone| self.words.zone_name(ZoneId(zone))).collect();
+        let mut regions: Vec<&str> = vec![""];
+        let mut orders = Vec::new();
+        for (name, zone) in &fleet.zones {
+            let Some(number) = known.iter().position(|known| known == name) else {
+                return Err(format!("zones.{name}: is none of {}", known.join(", ")));
+            };
+            let region = regions.iter().position(|region| *region == zone.region);
+            let region = region.unwrap_or(regions.len());
+            if region == regions.len() {
+                regions.push(&zone.region);
+            }
+            orders.push(ZoneOrder { zone: ZoneId(number as u32), region: region as u32, share: zone.share });
+        }
+        if orders.len() == known.len() && orders.iter().all(|order| order.share <= 0.0) {
+            return Err("zones: no zone may be given anything".to_owned());
+        }
+        for (name, zone) in &fleet.zones {
+            let (region, share) = (&zone.region, zone.share);
+            tracing::info!(zone = name, region, share, "ordered");
+        }
+        self.hear(Event::Zones(orders), errands);
+        Ok(())
+    }
+
     fn fleet(&mut self, scope: ListScope, list: Vec<Listed>, errands: &mut Errands) {
         let now = self.clock.now();
         tracing::debug!(scope = ?scope, count = list.len(), "list taken");
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -76,6 +76,8 @@
     Sockets(usize),
     #[error("configuration: {0}")]
     Settings(String),
+    #[error("fleet file: {0}")]
+    Orders(String),
     #[error("fleet file {0}")]
     Fleet(#[from] flaxdale_fleet::file::FileError),
     #[error("can't listen at {at}: {source}")]
@@ -128,7 +130,9 @@
     let node = Node::new(site.settings, site.words, seed, clock, Rc::new(upstream))
         .map_err(|error| StartError::Settings(error.to_string()))?;
     let (discovery, addresses) = watch::channel(config.discovery);
-    let registry = read_fleet()?.and_then(|fleet| fleet.registry);
+    let fleet = read_fleet()?.unwrap_or_default();
+    node.order(&fleet).map_err(StartError::Orders)?;
+    let registry = fleet.registry;
     let (replicas, replicas_are) =
         watch::channel(registry.clone().map_or(Vec::new(), |known| known.addresses));
     let mut terminate = signal(SignalKind::terminate())?;
@@ -137,7 +141,7 @@
     let listener =
         listen(config.listen).map_err(|source| StartError::Listen { at: config.listen, source })?;
     tracing::info!(target: STARTED, node = config.name, listen = %listener.local_addr()?, "serves");
-    spawn_local(reconfigure(hangup, discovery, replicas));
+    spawn_local(reconfigure(hangup, node.clone(), discovery, replicas));
     if registry.is_some() {
         spawn_local(registry::Follow::new(node.clone(), replicas_are, seed, config.known).run());
     } else {
@@ -192,6 +196,7 @@
 /// registry may have changed; never ends.
 async fn reconfigure(
     mut hangup: Signal,
+    node: Node,
     discovery: watch::Sender<SocketAddr>,
     replicas: watch::Sender<Vec<SocketAddr>>,
 ) {
@@ -205,7 +210,13 @@
             Err(error) => tracing::error!(cause = %error, "configuration not taken"),
         }
         match read_fleet() {
-            Ok(Some(Fleet { registry: Some(registry) })) => {
+            Ok(Some(fleet)) => {
+                // Orders that make no sense leave the last good ones in place.
+                if let Err(cause) = node.order(&fleet) {
+                    tracing::error!(cause, "orders not taken");
+                }
+                // Whether there is a registry is settled at the start.
+                let Some(registry) = fleet.registry else { continue };
                 replicas.send_if_modified(|known| {
                     let moved = *known != registry.addresses && !known.is_empty();
                     if moved {
@@ -215,8 +226,7 @@
                     moved
                 });
             }
-            // Whether there is a registry is settled at the start.
-            Ok(_) => {}
+            Ok(None) => {}
             Err(error) => tracing::error!(cause = %error, "fleet file not taken"),
         }
     }
--- a/registry/src/settings.rs
+++ b/registry/src/settings.rs
@@ -93,7 +93,7 @@
     /// What makes no sense in them, with the key.
     pub fn check(&self) -> Result<(), Problem> {
         let wanted = |fits: bool, key: &'static str, text: String| {
-            if fits { Ok(()) } else { Err(Problem { key, text }) }
+            if fits { Ok(()) } else { Err(Problem { key: key.to_owned(), text }) }
         };
         let named = !self.fleet.is_empty() && self.fleet.len() <= MOST_NAME && self.fleet.is_ascii();
         wanted(named, "fleet", format!("1 to {MOST_NAME} ASCII characters are wanted"))?;
@@ -194,7 +194,7 @@
             ("most_watches = 20000", "most_watches"),
             ("ready_age_ms = 1", "ready_age_ms"),
         ] {
-            assert_eq!(told(text), Err(key), "{text}");
+            assert_eq!(told(text), Err(key.to_owned()), "{text}");
         }
         assert!(toml::from_str::<Settings>("leese_ms = 1").is_err());
     }
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! [`experiment`] reads what is to be played, [`play`] plays it and writes the results, [`compare`] holds two results
 //! against each other. On sockets [`sockets`] runs the parties: [`servers`] (emulated app servers), [`agents`] (the list
-//! service), [`relay`] (links that can be cut), [`callers`] (clients) and [`nodes`] (the real processes), which
+//! service), [`relay`] (links that can be cut), [`callers`] (clients) and [`nodes`] (the real processes, with the [`orders`] in their fleet files), which
 //! [`keeper`] ends if the rig can't. Where a fleet has its own registry, [`registry`] plays it: [`replicas`] are its processes, [`registrants`] who
 //! registers there, and [`watchers`] clients that keep account of what it tells.
 
@@ -17,6 +17,7 @@
 pub mod keeper;
 pub mod listener;
 pub mod nodes;
+pub mod orders;
 pub mod play;
 pub mod rank;
 pub mod registrants;
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -18,6 +18,7 @@
 
 use crate::keeper::{Keeper, signal};
 use crate::listener::Port;
+use crate::orders::FleetFile;
 use crate::shared::{Shared, lock};
 
 /// How often a node that starts is looked at.
@@ -113,7 +114,7 @@
     /// Its port is its own also while it is down.
     port: Mutex<Option<Port>>,
     /// Its fleet file, if it has one.
-    fleet: Option<PathBuf>,
+    fleet: Option<FleetFile>,
     starts: Mutex<u32>,
 }
 
@@ -130,7 +131,7 @@
 
 impl NodeProcess {
     /// A node that has not started yet.
-    pub fn new(program: Arc<Program>, shared: Arc<Shared>, number: usize, fleet: Option<PathBuf>) -> Self {
+    pub fn new(program: Arc<Program>, shared: Arc<Shared>, number: usize, fleet: Option<FleetFile>) -> Self {
         let name = shared.world.nodes[number].name.clone();
         let (life, at, port, starts) = Default::default();
         Self { number, name, program, shared, life, at, port, fleet, starts }
@@ -179,7 +180,7 @@
         let errors = log.try_clone().map_err(of_file(&file))?;
         let mut command = Command::new(&self.program.binary);
         if let Some(fleet) = &self.fleet {
-            command.env("EDGE_FLEET", fleet);
+            command.env("EDGE_FLEET", fleet.path());
         }
         let child = command
             .env("EDGE_CONFIG", self.config())
@@ -266,6 +267,15 @@
         Ok(())
     }
 
+    /// Writes what is ordered now into its fleet file and tells it.
+    pub fn order(&self) -> Result<(), NodeError> {
+        let Some(fleet) = &self.fleet else { return Ok(()) };
+        let file = || fleet.path().display().to_string();
+        fleet.write(self.shared.clock.now()).map_err(|source| NodeError::File { file: file(), source })?;
+        self.pid().map(|pid| signal(pid, Signal::HUP));
+        Ok(())
+    }
+
     /// Pauses it, or lets it go on.
     pub fn pause(&self, paused: bool) -> bool {
         self.pid().is_some_and(|pid| signal(pid, if paused { Signal::STOP } else { Signal::CONT }))
--- a/rig/src/registry.rs
+++ b/rig/src/registry.rs
@@ -108,17 +108,16 @@
         }))
     }
 
-    /// Writes a node's fleet file; links stand between it and the replicas where a fault concerns them.
-    pub fn fleet_file(
+    /// Where a node finds the replicas; links stand between where a fault concerns them.
+    pub fn addresses(
         &self,
         node: usize,
-        folder: &Path,
         touched: impl Fn(Party, Party) -> bool,
-    ) -> std::io::Result<PathBuf> {
+    ) -> std::io::Result<Vec<SocketAddr>> {
         let info = &self.shared.world.nodes[node];
         let mut addresses = Vec::new();
         for (number, replica) in self.replicas.all.iter().enumerate() {
-            let at = if touched(Party::Node(node), Party::Replica(number)) {
+            addresses.push(if touched(Party::Node(node), Party::Replica(number)) {
                 let own = (Party::Node(node), info.zone);
                 Link::open(
                     self.shared.clone(),
@@ -128,14 +127,9 @@
                 )?
             } else {
                 replica.client
-            };
-            addresses.push(at.to_string());
+            });
         }
-        let file = folder.join(format!("{}-fleet.toml", info.name));
-        let text =
-            toml::to_string(&json!({"registry": {"addresses": addresses}})).map_err(std::io::Error::other)?;
-        std::fs::write(&file, text)?;
-        Ok(file)
+        Ok(addresses)
     }
 
     /// Starts the processes and has everybody register who is there from the start. The text says what did not come.
--- a/rig/src/sockets.rs
+++ b/rig/src/sockets.rs
@@ -27,6 +27,7 @@
 use crate::experiment::Experiment;
 use crate::keeper::Keeper;
 use crate::nodes::{NodeError, NodeProcess, Program};
+use crate::orders::FleetFile;
 use crate::registry::Registry;
 use crate::relay::{End, Link, MOST_LINKS};
 use crate::servers::{AppServer, First};
@@ -231,10 +232,18 @@
     } else {
         None
     };
+    let ordered = shared.world.steps.iter().any(|step| matches!(step.act, Act::OrderZone(..)));
     let mut nodes: Vec<Arc<NodeProcess>> = Vec::new();
     for number in 0..shared.world.nodes.len() {
-        let fleet = registry.as_ref().map(|registry| registry.fleet_file(number, &configs, concerns));
-        let fleet = fleet.transpose().map_err(machine("a fleet file"))?;
+        let replicas = registry.as_ref().map(|registry| registry.addresses(number, concerns));
+        let replicas = replicas.transpose().map_err(machine("a link's port"))?;
+        let fleet = if registry.is_some() || ordered {
+            let write =
+                FleetFile::write_first(shared.clone(), number, replicas.unwrap_or_default(), &configs);
+            Some(write.map_err(machine("a fleet file"))?)
+        } else {
+            None
+        };
         nodes.push(Arc::new(NodeProcess::new(program.clone(), shared.clone(), number, fleet)));
     }
     let notice = FRONT_NOTICE.at(stream(shared.world.seed, 12).random());
@@ -595,6 +604,14 @@
             Act::ReplaceServer(server) if begins && self.registry.is_some() => {
                 self.on_server(server, AppServer::drain);
             }
+            Act::OrderZone(..) => {
+                for node in &self.nodes {
+                    if let Err(error) = node.order() {
+                        self.shared
+                            .event("rig-trouble", json!({"node": node.name, "cause": error.to_string()}));
+                    }
+                }
+            }
             Act::KillReplica(_) | Act::PauseReplica(_) | Act::LoseReplica(_) => {
                 if let Some(registry) = &self.registry {
                     registry.act(act, begins).await;
--- a/rig/src/wire.rs
+++ b/rig/src/wire.rs
@@ -163,8 +163,8 @@
 
     fn handle(&mut self, node: usize, _: Nanos, event: Event, _: &mut Vec<(usize, Action)>) {
         match event {
-            // An instance that was opened has started.
-            Event::Start | Event::Probed { .. } => {}
+            // An instance that was opened has started; the wire knows neither probes nor an operator's orders.
+            Event::Start | Event::Probed { .. } | Event::Zones(_) => {}
             Event::Fleet { scope, members } => {
                 let list = self.list(&members);
                 let mode = match scope {
--- a/src/api.rs
+++ b/src/api.rs
@@ -366,6 +366,17 @@
     pub report: Report,
 }
 
+/// What the operator has ordered of a zone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ZoneOrder {
+    /// The zone.
+    pub zone: ZoneId,
+    /// The region that it lies in; zones of one number are near to each other.
+    pub region: u32,
+    /// Part of the requests that the design would send there which it may be given, 0 to 1.
+    pub share: f64,
+}
+
 /// What the module hears.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -380,6 +391,8 @@
     },
     /// A call to discovery failed or the watch broke.
     FleetFailed,
+    /// The operator's orders, in place of all earlier ones. A zone that none names is open.
+    Zones(Vec<ZoneOrder>),
     /// A request came in and is owed one final answer.
     Request(Arrival),
     /// An attempt ended.
@@ -489,6 +502,13 @@
         /// The backend.
         backend: BackendId,
     },
+    /// A zone's share of the requests is what was ordered.
+    Share {
+        /// The zone.
+        zone: ZoneId,
+        /// The share, in percent.
+        percent: u32,
+    },
 }
 
 impl fmt::Display for Note {
@@ -502,6 +522,7 @@
                 write!(f, "backend {} ejected for {} ms: {cause:?}", backend.0, span / 1_000_000)
             }
             Self::Readmitted { backend } => write!(f, "backend {} readmitted: trials served", backend.0),
+            Self::Share { zone, percent } => write!(f, "zone {} has its ordered share, {percent}%", zone.0),
         }
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -142,6 +142,7 @@
             }
             Event::Fleet { scope, members } => self.fleet(scope, members),
             Event::FleetFailed => self.ask_later(),
+            Event::Zones(orders) => self.order(&orders),
             Event::Request(arrival) => self.arrive(arrival, actions),
             Event::Settled(settlement) => self.settle(settlement, actions),
             Event::Started { request } => {
@@ -470,6 +471,9 @@
             return;
         }
         self.refresh_at = self.now + REFRESH + (self.draw() * REFRESH as f64 * 0.1) as Nanos;
+        if let Some(note) = self.move_shares() {
+            self.log(actions, note);
+        }
         self.value_classes();
         self.measure_capacity();
         for zone in &mut self.zones {
@@ -478,7 +482,8 @@
         }
         let home = self.settings.home;
         let seen = |zone: &ZoneId| self.zones[zone.0 as usize].least_elapsed;
-        let others = (0..self.settings.zones).map(ZoneId).filter(|&zone| zone != home);
+        let others =
+            (0..self.settings.zones).map(ZoneId).filter(|&zone| zone != home && !self.is_closed(zone));
         let farthest = others.clone().filter_map(|zone| seen(&zone)).fold(1.0, f64::max);
         let mut scored: Vec<(bool, f64, ZoneId)> = others
             .map(|zone| match (self.utilisation(zone), seen(&zone)) {
@@ -497,7 +502,11 @@
                 score.1 += room * (1.0 - WINDOW_SPREAD * self.draw());
             }
         }
-        scored.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
+        let far = |zone| !self.is_near(zone);
+        scored.sort_by(|a, b| {
+            let near = far(a.2).cmp(&far(b.2));
+            b.0.cmp(&a.0).then(near).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2))
+        });
         self.qualified = scored.iter().filter(|score| score.0).count();
         self.overflow = scored.into_iter().map(|score| score.2).collect();
         if self.settings.weights != Weights::Live && self.many() && self.now >= self.share_at {
@@ -588,31 +597,40 @@
         let home = self.settings.home;
         // Exception: many nodes that all left an over-used zone at once would pile onto the next; so each
         // request leaves by chance, and the share follows the excess.
+        let at_home = self.may_go(home);
         let under = if self.many() {
             self.draw() >= self.zones[home.0 as usize].spill
         } else {
             self.utilisation(home).is_none_or(|util| util < THRESHOLD)
         };
+        let under = under && at_home;
         if under && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
         let target = self.target();
-        if let Some(to) = target.and_then(|zone| self.pick(id, zone)) {
+        if let Some(to) = target.filter(|&zone| self.may_go(zone)).and_then(|zone| self.pick(id, zone)) {
             return Some(to);
         }
-        if !under && let Some(to) = self.pick(id, home) {
+        if at_home
+            && !under
+            && let Some(to) = self.pick(id, home)
+        {
             return Some(to);
         }
         // A full window is no reason to try one zone after the other: all nodes together would fill each.
-        if !self.roomy(home, 1.0) {
+        if at_home && !self.roomy(home, 1.0) {
             return None;
         }
         // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can. Where a
         // subset is dead its zone may well be; past it, to all of home, only when no other zone is left.
-        let to = self.overflow.iter().find_map(|&zone| self.pick(id, zone));
+        let zones = 0..self.overflow.len();
+        let to = zones.into_iter().find_map(|at| {
+            let zone = self.overflow[at];
+            self.may_go(zone).then(|| self.pick(id, zone))?
+        });
         let own = |b: &Backend| self.zones.get(b.member.zone.0 as usize).is_some_and(|z| b.lot <= z.subset);
         let lives = |b: &Backend| b.member.stage == Stage::InService && b.health == Health::Healthy;
-        if to.is_some() || self.backends.values().any(|b| own(b) && lives(b)) {
+        if to.is_some() || !at_home || self.backends.values().any(|b| own(b) && lives(b)) {
             return to;
         }
         self.pick_among(id, home, u64::MAX)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod api;
 pub mod choice;
 mod state;
+mod zones;
 
 pub use api::*;
 pub use state::Balancer;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,5 @@
 //! What a node keeps: smoothed figures, its requests, and its views of backends, zones and classes.
-//! Plain data and arithmetic that know nothing of what decides on them: every decision is in `choice.rs`.
+//! Plain data and arithmetic that know nothing of what decides on them: every decision is in `choice.rs` and `zones.rs`.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -182,6 +182,17 @@
     pub(crate) spilling: bool,
 }
 
+/// What part of its requests a zone may be given, by the operator's order.
+#[derive(Clone, Copy)]
+pub(crate) struct Share {
+    pub(crate) region: u32,
+    /// What was ordered, and how far that has come.
+    pub(crate) wanted: f64,
+    pub(crate) given: f64,
+    /// This node's own pace.
+    pub(crate) pace: f64,
+}
+
 /// A class as this node sees it.
 #[derive(Clone, Copy, Default)]
 pub(crate) struct ClassView {
@@ -246,6 +257,9 @@
     pub(crate) listed_at: Option<Nanos>,
     pub(crate) list_period: f64,
     pub(crate) share_at: Nanos,
+    /// By zone; empty without orders.
+    pub(crate) shares: Vec<Share>,
+    pub(crate) shares_at: Nanos,
 }
 
 impl Balancer {
@@ -288,6 +302,8 @@
             listed_at: None,
             list_period: 1.0,
             share_at: 0,
+            shares: Vec::new(),
+            shares_at: now,
         })
     }
 
--- /dev/null
+++ b/src/zones.rs
@@ -0,0 +1,80 @@
+//! The operator's hand on zones, and how near they lie: which zones are candidates, and what part of the
+//! requests that the design would send to a zone it may be given. Which of the candidates it is, `choice.rs`
+//! decides as ever. Without orders every zone is open and all lie in one region.
+//!
+//! A share that was ordered is not reached at once: the zones that take over, and the servers of one that
+//! comes back, need time to be seen to bear it.
+
+use crate::api::*;
+use crate::state::*;
+
+/// Part of a zone's requests that leave it in a second, and that return: leaving takes 4 s, in which the
+/// others' figures (reports some 100 ms old, scores each 100 ms) follow; a return 20 s, in which cold servers
+/// warm up.
+const LEAVES: f64 = 0.25;
+const RETURNS: f64 = 0.05;
+/// Nodes differ by this part in their pace, so that they do not move in step.
+const SPREAD: f64 = 0.25;
+
+impl Balancer {
+    /// Takes the operator's orders in, in place of the last ones. A zone that none of them names is open.
+    pub(crate) fn order(&mut self, orders: &[ZoneOrder]) {
+        let before = std::mem::take(&mut self.shares);
+        if orders.is_empty() && before.is_empty() {
+            return;
+        }
+        let fresh = self.classes.iter().all(|class| class.asked.at == 0);
+        for zone in 0..self.settings.zones {
+            let named = orders.iter().rev().find(|order| order.zone == ZoneId(zone));
+            let (region, wanted) = named.map_or((0, 1.0), |order| (order.region, order.share));
+            // A node that has just started moves nothing: what others moved before stands.
+            let given =
+                before.get(zone as usize).map_or(if fresh { wanted } else { 1.0 }, |share| share.given);
+            let pace = 1.0 + SPREAD * (2.0 * self.draw() - 1.0);
+            let wanted = if wanted.is_finite() { wanted.clamp(0.0, 1.0) } else { 1.0 };
+            self.shares.push(Share { region, wanted, given: given.clamp(0.0, 1.0), pace });
+        }
+        self.shares_at = self.now;
+    }
+
+    /// Moves each zone's share towards what was ordered. One that has got there is told.
+    pub(crate) fn move_shares(&mut self) -> Option<Note> {
+        let span = self.now.saturating_sub(std::mem::replace(&mut self.shares_at, self.now));
+        let step = span as f64 / SECOND as f64;
+        let mut there = None;
+        for (zone, share) in (0..).zip(&mut self.shares) {
+            if share.given == share.wanted {
+                continue;
+            }
+            share.given = if share.wanted < share.given {
+                (share.given - LEAVES * share.pace * step).max(share.wanted)
+            } else {
+                (share.given + RETURNS * share.pace * step).min(share.wanted)
+            };
+            if share.given == share.wanted {
+                there = Some(Note::Share { zone: ZoneId(zone), percent: (100.0 * share.given) as u32 });
+            }
+        }
+        there
+    }
+
+    /// Whether nothing may go to a zone.
+    pub(crate) fn is_closed(&self, zone: ZoneId) -> bool {
+        self.shares.get(zone.0 as usize).is_some_and(|share| share.given <= 0.0)
+    }
+
+    /// Whether a zone lies in the node's own region.
+    pub(crate) fn is_near(&self, zone: ZoneId) -> bool {
+        let region = |zone: ZoneId| self.shares.get(zone.0 as usize).map_or(0, |share| share.region);
+        region(zone) == region(self.settings.home)
+    }
+
+    /// Whether one request may go to a zone: by chance, so that the zone's share of them does.
+    pub(crate) fn may_go(&mut self, zone: ZoneId) -> bool {
+        match self.shares.get(zone.0 as usize).map(|share| share.given) {
+            None => true,
+            Some(given) if given >= 1.0 => true,
+            Some(given) => given > 0.0 && self.draw() < given,
+        }
+    }
+}
