Name the fleet file's module so that the documentation builds

A link to the module file was taken for the macro of that name, and the documentation's build, which lets no warning pass, failed. The link names the module; `cargo doc` passes over the workspace.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -2,7 +2,7 @@
 #![warn(missing_docs)]
 //! What the processes of a fleet share.
 //!
-//! [`file`] is the fleet file, by which a process knows of the others. [`follow`] is a client of the registry as a state
+//! [`mod@file`] is the fleet file, by which a process knows of the others. [`follow`] is a client of the registry as a state
 //! machine: which replica to ask for what, and when; it has neither sockets nor a clock. [`call`] carries such a call
 //! over a connection that is kept, bounded in time and size.
 
