Send watches straight to their handler, and keep one timer a connection

A client's door takes GET /registry/instances to its handler itself and gives all else to the router; the timeout is on writes alone. What is answered is the same handler's answer.

--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -23,6 +23,9 @@
 use crate::replica::{DO, ELECT, MOST_LIVES, Operation, Replica, Trouble, WHO};
 use crate::wire::{AGE, Decision, Life, Part, Refusal, Renewal, Replicas, Target};
 
+/// Where the list is, and its watch.
+pub const INSTANCES: &str = "/registry/instances";
+
 type Own = State<Arc<Replica>>;
 
 /// The protocol's bound of a watch.
@@ -56,7 +59,7 @@
 /// Calls of clients and operators.
 pub fn clients(replica: Arc<Replica>) -> Router {
     Router::new()
-        .route("/registry/instances", get(instances))
+        .route(INSTANCES, get(instances))
         .route("/registry/register", post(register))
         .route("/registry/renew", post(renew))
         .route("/registry/drain", post(drain))
@@ -211,6 +214,11 @@
     }
 }
 
+/// A watch, without the router's way to it.
+pub async fn watch(own: Arc<Replica>, query: Option<String>) -> Response {
+    instances(State(own), RawQuery(query)).await.into_response()
+}
+
 /// The list, or what is new on it once there is something new. Never older than what the client has seen.
 async fn instances(State(own): Own, RawQuery(query): RawQuery) -> Result<Response, Trouble> {
     let watch = Watch::read(query.as_deref().unwrap_or_default())?;
--- a/registry/src/serve.rs
+++ b/registry/src/serve.rs
@@ -1,19 +1,27 @@
 //! A replica as a process: its doors, with bounds on who comes through them, and its end.
 
+use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use axum::Router;
+use axum::body::Body;
+use axum::response::Response;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
+use hyper::service::Service;
+use hyper::{Method, Request};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio_io_timeout::TimeoutStream;
+use tokio_io_timeout::TimeoutWriter;
 
-use crate::http::{Doors, clients, peers};
+use crate::http::{Doors, INSTANCES, clients, peers, watch};
 use crate::replica::{Replica, StartError};
 use crate::settings::Settings;
 
@@ -74,16 +82,19 @@
     (settings.listen, settings.peer_listen) = (doors.clients, doors.peers);
     let most = settings.most_connections;
     let replica = Replica::start(settings).await?;
-    tokio::spawn(take(for_peers, peers(replica.clone()), MOST_PEERS, Arc::default(), replica.clone()));
+    let at_peers = Doorway { router: TowerToHyperService::new(peers(replica.clone())), watched: None };
+    tokio::spawn(take(for_peers, at_peers, MOST_PEERS, Arc::default(), replica.clone()));
     let connections = replica.connections.clone();
-    tokio::spawn(take(for_clients, clients(replica.clone()), most, connections, replica.clone()));
+    let router = TowerToHyperService::new(clients(replica.clone()));
+    let at_clients = Doorway { router, watched: Some(replica.clone()) };
+    tokio::spawn(take(for_clients, at_clients, most, connections, replica.clone()));
     Ok(Serving { replica, doors })
 }
 
 /// Takes connections, as many at a time as there may be; one too many is closed at once. Never ends.
 async fn take(
     listener: TcpListener,
-    router: Router,
+    doorway: Doorway,
     most: usize,
     open: Arc<AtomicUsize>,
     replica: Arc<Replica>,
@@ -103,7 +114,7 @@
             continue;
         }
         let counted = Open::one(&open);
-        tokio::spawn(converse(stream, router.clone(), replica.clone(), counted));
+        tokio::spawn(converse(stream, doorway.clone(), replica.clone(), counted));
     }
 }
 
@@ -123,17 +134,43 @@
     }
 }
 
-async fn converse(stream: TcpStream, router: Router, replica: Arc<Replica>, _counted: Open) {
+/// What stands behind a connection: a client's watches, which wait by the thousand, go straight to their handler; all else by
+/// the router, whose way holds more memory while a call waits.
+#[derive(Clone)]
+struct Doorway {
+    router: TowerToHyperService<Router>,
+    /// Whose list is watched at this door, if any is.
+    watched: Option<Arc<Replica>>,
+}
+
+impl Service<Request<Incoming>> for Doorway {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Infallible>> + Send>>;
+
+    fn call(&self, request: Request<Incoming>) -> Self::Future {
+        match &self.watched {
+            Some(replica) if request.method() == Method::GET && request.uri().path() == INSTANCES => {
+                let query = request.uri().query().map(str::to_owned);
+                let watch = watch(replica.clone(), query);
+                Box::pin(async move { Ok(watch.await) })
+            }
+            _ => Box::pin(self.router.call(request)),
+        }
+    }
+}
+
+async fn converse(stream: TcpStream, doorway: Doorway, replica: Arc<Replica>, _counted: Open) {
     // Some systems refuse the option on a connection that has just gone.
     let _ = stream.set_nodelay(true);
-    let mut stream = TimeoutStream::new(stream);
-    stream.set_write_timeout(Some(READS));
+    let mut stream = TimeoutWriter::new(stream);
+    stream.set_timeout(Some(READS));
     // Ten thousand of these wait at a time: nothing is held twice, and each lies in one piece of its own size.
     let done = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(IDLE)
         .max_buf_size(BUFFER)
-        .serve_connection(TokioIo::new(Box::pin(stream)), TowerToHyperService::new(router))
+        .serve_connection(TokioIo::new(Box::pin(stream)), doorway)
         .await;
     if let Err(error) = done {
         let cause = std::error::Error::source(&error).and_then(|cause| cause.downcast_ref::<io::Error>());
