Word the call for the list and read its age in one place

How a client asks a replica for the list (path, from, seen, hold_ms) and reads how old it is was written in the node, in the rig's watchers and in the tests' client, with the path in five more places and the header's name in four.

Ask::target words the call, Answer::list_age reads the header, and fleet::follow names both.

--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -6,6 +6,7 @@
 
 use clap::{Args, Subcommand, ValueEnum};
 use flaxdale_fleet::file::Fleet;
+use flaxdale_fleet::follow::PATH;
 use flaxdale_registry::client::{Client, ClientError};
 use flaxdale_registry::list::MOST_PART;
 use flaxdale_registry::serve::{ServeError, serve};
@@ -193,7 +194,7 @@
                 Ok(if json { format!("{status:#}") } else { told(&status) })
             }
             Self::List { at, json } => {
-                let list: Listing = at.client()?.get("/registry/instances").await?;
+                let list: Listing = at.client()?.get(PATH).await?;
                 if json {
                     return Ok(serde_json::to_string_pretty(&list).unwrap_or_default());
                 }
@@ -256,7 +257,7 @@
 async fn change(at: At, path: &str, uid: &str, what: &str) -> Result<String, Failed> {
     let mut client = at.client()?;
     // The life that stands on the list now is the one that is meant.
-    let list: Listing = client.get("/registry/instances").await?;
+    let list: Listing = client.get(PATH).await?;
     let one = list.targets.into_iter().find(|one| one.uid == uid);
     let one =
         one.ok_or_else(|| ClientError::Refused { status: 404, text: format!("{uid} is not on the list") })?;
--- a/cli/tests/registry/history.rs
+++ b/cli/tests/registry/history.rs
@@ -15,7 +15,7 @@
 
 use crate::site::{Site, instance};
 use flaxdale_fleet::call::{Call, Link};
-use flaxdale_registry::wire::{AGE, Listing};
+use flaxdale_registry::wire::Listing;
 use proptest::prelude::*;
 use rustix::process::Signal;
 use serde_json::Value;
@@ -127,12 +127,13 @@
             let call = Call::get("/registry/instances", Duration::from_secs(1), 1 << 20);
             let asked = now();
             let Ok(answer) = link.call(&call).await else { continue };
-            let age = answer.headers.get(AGE).and_then(|age| age.to_str().ok()?.parse::<u64>().ok());
+            let age = answer.list_age();
             // One that can't tell promises nothing.
             let Some(age) = age.filter(|_| answer.status.is_success()) else { continue };
             let list: Listing = serde_json::from_slice(&answer.body).expect("a list");
             // The age is told in whole milliseconds.
-            let (began, ended) = (asked.saturating_sub((age + 1) * 1000), Some(now()));
+            let age_us = age.as_micros() as u64 + 1000;
+            let (began, ended) = (asked.saturating_sub(age_us), Some(now()));
             history.push(NAMES.map(|name| {
                 let found = list.targets.iter().find(|one| one.uid == name);
                 Done { began, ended, value: found.map_or(NOBODY, |one| one.boot_ms), read: true }
--- a/cli/tests/registry/site.rs
+++ b/cli/tests/registry/site.rs
@@ -13,7 +13,7 @@
 use flaxdale_fleet::follow::{Follower, Head, Rules, Take};
 use flaxdale_registry::client::{Client, ClientError};
 use flaxdale_registry::list::State;
-use flaxdale_registry::wire::{AGE, Listing, Target};
+use flaxdale_registry::wire::{Listing, Target};
 use flaxdale_rig::listener::Port;
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
@@ -318,12 +318,7 @@
                 let (at, ask) = follower.next(began.elapsed());
                 tokio::time::sleep_until(began + at).await;
                 let asked = began.elapsed();
-                let mut target = String::from("/registry/instances?");
-                for (name, value) in [("from", ask.from), ("seen", ask.seen)] {
-                    value.into_iter().for_each(|value| target.push_str(&format!("{name}={value}&")));
-                }
-                target.push_str(&format!("hold_ms={}", ask.hold.as_millis()));
-                let call = Call::get(target, ask.hold + Duration::from_secs(2), 64 << 20);
+                let call = Call::get(ask.target(), ask.hold + Duration::from_secs(2), 64 << 20);
                 let answer = links[ask.replica].call(&call).await;
                 let answer = answer.ok().filter(|answer| answer.status.is_success());
                 let Some(answer) = answer else {
@@ -331,12 +326,11 @@
                     continue;
                 };
                 let list: Listing = serde_json::from_slice(&answer.body).expect("a list");
-                let age = answer.headers.get(AGE).and_then(|age| age.to_str().ok()?.parse().ok());
                 let head = Head {
                     incarnation: list.incarnation,
                     rev: list.rev,
                     all: list.all,
-                    age: age.map(Duration::from_millis),
+                    age: answer.list_age(),
                 };
                 // What a replica tells on its own account: a client that asks with what it has seen is told nothing older.
                 if ask.seen.is_some_and(|rev| list.rev < rev) {
--- a/fleet/src/call.rs
+++ b/fleet/src/call.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::follow::AGE;
+
 /// A connection that is not up by then does not come up.
 const CONNECT: Duration = Duration::from_millis(500);
 
@@ -74,6 +76,18 @@
     pub body: Bytes,
 }
 
+impl Answer {
+    /// A header's text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
+    /// How old its list may be at most; none if the replica can't tell.
+    pub fn list_age(&self) -> Option<Duration> {
+        self.header(AGE)?.parse().ok().map(Duration::from_millis)
+    }
+}
+
 /// Where calls go, with the connection that is open to there.
 pub struct Link {
     at: SocketAddr,
--- a/fleet/src/follow.rs
+++ b/fleet/src/follow.rs
@@ -8,6 +8,11 @@
 
 use std::time::Duration;
 
+/// Where the list is, and is watched.
+pub const PATH: &str = "/registry/instances";
+/// The header that says how old an answer's list may be at most, in milliseconds, or `unknown`.
+pub const AGE: &str = "x-list-age-ms";
+
 /// How patient a client is.
 #[derive(Clone, Copy, Debug)]
 pub struct Rules {
@@ -43,6 +48,17 @@
     pub hold: Duration,
 }
 
+impl Ask {
+    /// Path and query of the call.
+    pub fn target(&self) -> String {
+        let mut target = format!("{PATH}?hold_ms={}", self.hold.as_millis());
+        for (name, value) in [("from", self.from), ("seen", self.seen)] {
+            value.into_iter().for_each(|value| target.push_str(&format!("&{name}={value}")));
+        }
+        target
+    }
+}
+
 /// What an answer says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Head {
--- a/node/src/discovery.rs
+++ b/node/src/discovery.rs
@@ -5,6 +5,7 @@
 
 use brookfield::{ListScope, Stage};
 use bytes::Bytes;
+use flaxdale_fleet::follow::PATH;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::HOST;
@@ -18,8 +19,6 @@
 
 use crate::driver::{Listed, Node};
 
-/// Where the list is.
-pub const PATH: &str = "/registry/instances";
 /// How long one watch may wait: short beside an agent on the node's own machine, where a call costs nothing
 /// and one that has gone silent should be noticed; long where all nodes ask one service.
 const HOLD_PUSHED: Duration = Duration::from_secs(5);
--- a/node/src/registry.rs
+++ b/node/src/registry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use brookfield::ListScope;
-use flaxdale_fleet::call::{Answer, Call, CallError, Link};
+use flaxdale_fleet::call::{Call, CallError, Link};
 use flaxdale_fleet::follow::{Ask, Follower, Head, Rules, Take};
 use hyper::StatusCode;
 use hyper::header::RETRY_AFTER;
@@ -15,13 +15,11 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
-use crate::discovery::{List, MAX_LIST, PATH, moved};
+use crate::discovery::{List, MAX_LIST, moved};
 use crate::driver::{ListState, Node};
 
 /// An answer this long after the wait was over does not come any more.
 const GRACE: Duration = Duration::from_secs(1);
-/// The header by which a replica says how old its list may be, in milliseconds.
-const AGE: &str = "x-list-age-ms";
 /// How often the log tells that the registry is still away.
 const TOLD_AGAIN: Duration = Duration::from_secs(10);
 
@@ -141,22 +139,14 @@
 }
 
 async fn call(link: &mut Link, ask: &Ask) -> Result<(Head, List), Trouble> {
-    let mut target = format!("{PATH}?hold_ms={}", ask.hold.as_millis());
-    for (name, value) in [("from", ask.from), ("seen", ask.seen)] {
-        value.into_iter().for_each(|value| target.push_str(&format!("&{name}={value}")));
-    }
-    let answer = link.call(&Call::get(target, ask.hold + GRACE, MAX_LIST)).await?;
+    let answer = link.call(&Call::get(ask.target(), ask.hold + GRACE, MAX_LIST)).await?;
     if answer.status != StatusCode::OK {
         let text = String::from_utf8_lossy(&answer.body[..answer.body.len().min(200)]).into_owned();
-        let again = header(&answer, RETRY_AFTER.as_str()).and_then(|text| text.parse::<f64>().ok());
+        let again = answer.header(RETRY_AFTER.as_str()).and_then(|text| text.parse::<f64>().ok());
         let again = again.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
         return Err(Trouble::Status { status: answer.status, text, again });
     }
     let list: List = serde_json::from_slice(&answer.body)?;
-    let age = header(&answer, AGE).and_then(|text| text.parse().ok()).map(Duration::from_millis);
+    let age = answer.list_age();
     Ok((Head { incarnation: list.incarnation(), rev: list.rev(), all: list.is_whole(), age }, list))
 }
-
-fn header<'a>(answer: &'a Answer, name: &str) -> Option<&'a str> {
-    answer.headers.get(name)?.to_str().ok()
-}
--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -12,6 +12,7 @@
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
+use flaxdale_fleet::follow::{AGE, PATH};
 use openraft::Snapshot;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -21,10 +22,7 @@
 use crate::list::Rev;
 use crate::peers::{APPEND, FLEET, MOST_MESSAGE, SNAPSHOT, TO, VOTE, Whole};
 use crate::replica::{DO, ELECT, MOST_LIVES, Operation, Replica, Trouble, WHO};
-use crate::wire::{AGE, Decision, Life, Part, Refusal, Renewal, Replicas, Target};
-
-/// Where the list is, and its watch.
-pub const INSTANCES: &str = "/registry/instances";
+use crate::wire::{Decision, Life, Part, Refusal, Renewal, Replicas, Target};
 
 type Own = State<Arc<Replica>>;
 
@@ -59,7 +57,7 @@
 /// Calls of clients and operators.
 pub fn clients(replica: Arc<Replica>) -> Router {
     Router::new()
-        .route(INSTANCES, get(instances))
+        .route(PATH, get(instances))
         .route("/registry/register", post(register))
         .route("/registry/renew", post(renew))
         .route("/registry/drain", post(drain))
--- a/registry/src/serve.rs
+++ b/registry/src/serve.rs
@@ -12,6 +12,7 @@
 use axum::Router;
 use axum::body::Body;
 use axum::response::Response;
+use flaxdale_fleet::follow::PATH;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::Service;
@@ -21,7 +22,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_io_timeout::TimeoutWriter;
 
-use crate::http::{Doors, INSTANCES, clients, peers, watch};
+use crate::http::{Doors, clients, peers, watch};
 use crate::replica::{Replica, StartError};
 use crate::settings::Settings;
 
@@ -150,7 +151,7 @@
 
     fn call(&self, request: Request<Incoming>) -> Self::Future {
         match &self.watched {
-            Some(replica) if request.method() == Method::GET && request.uri().path() == INSTANCES => {
+            Some(replica) if request.method() == Method::GET && request.uri().path() == PATH => {
                 let query = request.uri().query().map(str::to_owned);
                 let watch = watch(replica.clone(), query);
                 Box::pin(async move { Ok(watch.await) })
--- a/registry/src/wire.rs
+++ b/registry/src/wire.rs
@@ -94,9 +94,6 @@
     }
 }
 
-/// The header that says how old an answer's list may be at most, in milliseconds, or `unknown`.
-pub const AGE: &str = "x-list-age-ms";
-
 /// A life: an instance by its name and its start.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/rig/src/watchers.rs
+++ b/rig/src/watchers.rs
@@ -8,7 +8,7 @@
 
 use brookfield::Nanos;
 use flaxdale_fleet::call::{Call, Link};
-use flaxdale_fleet::follow::{Follower, Head, Rules, Take};
+use flaxdale_fleet::follow::{Follower, Head, PATH, Rules, Take};
 use flaxdale_model::ledger::Rule;
 use hyper::StatusCode;
 use serde::Deserialize;
@@ -108,15 +108,10 @@
             let (at, ask) = follower.next(since());
             sleep(at.saturating_sub(since())).await;
             let asked = since();
-            let mut target = format!("/registry/instances?hold_ms={}", ask.hold.as_millis());
-            for (name, value) in [("from", ask.from), ("seen", ask.seen)] {
-                value.into_iter().for_each(|value| target.push_str(&format!("&{name}={value}")));
-            }
-            let answer = links[ask.replica].call(&Call::get(target, ask.hold + GRACE, MOST_LIST)).await;
+            let answer = links[ask.replica].call(&Call::get(ask.target(), ask.hold + GRACE, MOST_LIST)).await;
             let answer = answer.ok().filter(|answer| answer.status == StatusCode::OK);
             let list = answer.and_then(|answer| {
-                let age = answer.headers.get("x-list-age-ms").and_then(|age| age.to_str().ok()?.parse().ok());
-                Some((serde_json::from_slice::<List>(&answer.body).ok()?, age.map(Duration::from_millis)))
+                Some((serde_json::from_slice::<List>(&answer.body).ok()?, answer.list_age()))
             });
             let Some((list, age)) = list else {
                 // Spread as a fleet's clients are; the links' order differs between them.
@@ -213,7 +208,7 @@
         let read = async || {
             let mut newest: Option<List> = None;
             for at in &self.addresses {
-                let call = Call::get("/registry/instances", Duration::from_secs(2), MOST_LIST);
+                let call = Call::get(PATH, Duration::from_secs(2), MOST_LIST);
                 let Ok(answer) = Link::to(*at).call(&call).await else { continue };
                 let list = serde_json::from_slice::<List>(&answer.body).ok();
                 let newer = |list: &List| newest.as_ref().is_none_or(|newest| list.rev > newest.rev);
