Read experiments and fleet files by one reader, which finds the line of nested keys

The reader of fleet files had its own error, its own size bound and its own search for the line at fault beside those of experiments. That search took the first line with the key's last name: a wrong share of the second zone was told with the first zone's line.

Experiments are read by the fleet files' reader, which takes over their search: it follows the key through the tables. A new case holds the second zone's line; it was line 2 before and is 4. The words of all other problems are unchanged.

--- a/fleet/src/file.rs
+++ b/fleet/src/file.rs
@@ -7,6 +7,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use toml::de::{DeTable, DeValue};
 
 /// A file larger than this is none.
 const MOST_BYTES: u64 = 1024 * 1024;
@@ -97,17 +98,42 @@
     let parsed: T = toml::from_str(&text)
         .map_err(|error| fail(error.span().map(|span| line_of(span.start)), error.message().to_owned()))?;
     check(&parsed).map_err(|problem| {
-        let last = problem.key.rsplit('.').next().unwrap_or(&problem.key);
-        let holds_key = |line: &str| {
-            line.split_once('=').is_some_and(|(key, _)| key.trim() == last)
-                || line.trim_matches(['[', ']', ' ']) == problem.key
-        };
-        let line = text.lines().position(holds_key).map(|at| at + 1);
+        let line = find(&text, &problem.key).map(line_of);
         fail(line, format!("{}: {}", problem.key, problem.text))
     })?;
     Ok(parsed)
 }
 
+/// Where a key such as `fault[2].zone` stands, or its nearest table that does.
+fn find(text: &str, key: &str) -> Option<usize> {
+    let table = DeTable::parse(text).ok()?;
+    let mut at = None;
+    let mut value: Option<&DeValue> = None;
+    for part in key.split('.') {
+        let (name, index) = match part.split_once('[') {
+            Some((name, rest)) => (name, rest.trim_end_matches(']').parse::<usize>().ok()),
+            None => (part, None),
+        };
+        let inside = match value {
+            None => table.get_ref(),
+            Some(DeValue::Table(inside)) => inside,
+            Some(_) => return at,
+        };
+        let Some((key, found)) = inside.iter().find(|(key, _)| key.get_ref().as_ref() == name) else {
+            return at;
+        };
+        at = Some(key.span().start);
+        value = Some(found.get_ref());
+        if let Some(index) = index {
+            let Some(DeValue::Array(items)) = value else { return at };
+            let Some(item) = items.get(index) else { return at };
+            at = Some(item.span().start);
+            value = Some(item.get_ref());
+        }
+    }
+    at
+}
+
 impl Fleet {
     /// Reads and checks a fleet file.
     pub fn read(file: &Path) -> Result<Self, FileError> {
@@ -166,6 +192,7 @@
                 "2: registry.addresses: 127.0.0.1:1 stands",
             ),
             ("[registry]\nadresses = []\n", "2: unknown field `adresses`"),
+            ("[zones.a]\nshare = 1.0\n[zones.b]\nshare = 7.0\n", "4: zones.b.share: a share from 0 to 1"),
             ("\n[regisry]\n", "2: unknown field `regisry`"),
             ("[registry", "1: "),
         ];
--- a/rig/src/experiment.rs
+++ b/rig/src/experiment.rs
@@ -1,18 +1,15 @@
 //! Experiment files: TOML, checked whole before anything starts. A problem is told with its file, line and key, and
 //! what would be right.
 
-use std::fmt;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
+use flaxdale_fleet::file::{self, FileError};
 use flaxdale_model::plan::{
-    Class, Discovery, Fault, Fleet, Kind, Load, MOST_SECONDS, Network, Picks, Plan, Registry, Rules, Tenant,
-    Trouble,
+    Class, Discovery, Fault, Fleet, Kind, Load, MOST_SECONDS, Network, Picks, Plan, Problem, Registry, Rules,
+    Tenant, Trouble,
 };
 use serde::{Deserialize, Serialize};
-use toml::de::{DeTable, DeValue};
 
-/// A file larger than this is none.
-const MOST_BYTES: u64 = 1024 * 1024;
 /// Seconds that a run on sockets may last at most: its load has to be bounded.
 const MOST_SOCKET_SECONDS: f64 = 3600.0;
 
@@ -100,59 +97,12 @@
     pub fault: Vec<Fault>,
 }
 
-/// Why a file is no experiment.
-#[derive(Clone, Debug, PartialEq)]
-pub struct FileError {
-    /// The file.
-    pub file: PathBuf,
-    /// The line, from 1, where one is at fault.
-    pub line: Option<usize>,
-    /// What is wrong, with the key, and what would be right.
-    pub text: String,
-}
-
-impl fmt::Display for FileError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.line {
-            Some(line) => write!(f, "{}:{line}: {}", self.file.display(), self.text),
-            None => write!(f, "{}: {}", self.file.display(), self.text),
-        }
-    }
-}
-
-impl std::error::Error for FileError {}
-
-fn line_of(text: &str, at: usize) -> usize {
-    text.as_bytes().iter().take(at).filter(|byte| **byte == b'\n').count() + 1
-}
-
 impl Experiment {
     /// Reads and checks a file.
     pub fn read(file: &Path) -> Result<Self, FileError> {
-        let fail = |text: String| FileError { file: file.to_owned(), line: None, text };
-        let size = std::fs::metadata(file).map_err(|error| fail(error.to_string()))?.len();
-        if size > MOST_BYTES {
-            return Err(fail(format!("{size} bytes are too many; {MOST_BYTES} at most")));
-        }
-        let text = std::fs::read_to_string(file).map_err(|error| fail(error.to_string()))?;
-        Self::parse(file, &text)
-    }
-
-    /// Reads and checks a text; `file` is for its problems.
-    pub fn parse(file: &Path, text: &str) -> Result<Self, FileError> {
-        let file = file.to_owned();
-        let experiment: Self = toml::from_str(text).map_err(|error| FileError {
-            file: file.clone(),
-            line: error.span().map(|span| line_of(text, span.start)),
-            text: error.message().to_owned(),
-        })?;
-        match experiment.check() {
-            Ok(()) => Ok(experiment),
-            Err(problem) => {
-                let line = find(text, &problem.key).map(|at| line_of(text, at));
-                Err(FileError { file, line, text: problem.to_string() })
-            }
-        }
+        file::read(file, |experiment: &Self| {
+            experiment.check().map_err(|Problem { key, text }| file::Problem { key, text })
+        })
     }
 
     /// What is played.
@@ -180,9 +130,8 @@
     }
 
     /// What makes no sense in it, with the key at fault.
-    pub fn check(&self) -> Result<(), flaxdale_model::plan::Problem> {
-        let problem =
-            |key: &str, text: String| Err(flaxdale_model::plan::Problem { key: key.to_owned(), text });
+    pub fn check(&self) -> Result<(), Problem> {
+        let problem = |key: &str, text: String| Err(Problem { key: key.to_owned(), text });
         let run = &self.run;
         let most = if run.on == On::Sockets { MOST_SOCKET_SECONDS } else { MOST_SECONDS };
         if !(0.5..=most).contains(&run.seconds) {
@@ -240,33 +189,3 @@
         self.plan().check()
     }
 }
-
-/// Where a key such as `fault[2].zone` stands, or its nearest table that does.
-fn find(text: &str, key: &str) -> Option<usize> {
-    let table = DeTable::parse(text).ok()?;
-    let mut at = None;
-    let mut value: Option<&DeValue> = None;
-    for part in key.split('.') {
-        let (name, index) = match part.split_once('[') {
-            Some((name, rest)) => (name, rest.trim_end_matches(']').parse::<usize>().ok()),
-            None => (part, None),
-        };
-        let inside = match value {
-            None => table.get_ref(),
-            Some(DeValue::Table(inside)) => inside,
-            Some(_) => return at,
-        };
-        let Some((key, found)) = inside.iter().find(|(key, _)| key.get_ref().as_ref() == name) else {
-            return at;
-        };
-        at = Some(key.span().start);
-        value = Some(found.get_ref());
-        if let Some(index) = index {
-            let Some(DeValue::Array(items)) = value else { return at };
-            let Some(item) = items.get(index) else { return at };
-            at = Some(item.span().start);
-            value = Some(item.get_ref());
-        }
-    }
-    at
-}
