Ask in one place whether a fault is on and whose process is at a place

Whether a fault lasts at a time was written out five times, which process of an app server is at its place three times, and a fault with nothing but its time twice in the tests.

Step::is_on, Instance::is_at and Fault::new say it.

--- a/model/src/plan.rs
+++ b/model/src/plan.rs
@@ -546,6 +546,27 @@
     pub step_s: Option<Range>,
 }
 
+impl Fault {
+    /// One that begins then and lasts to the end of the run, and says nothing else.
+    pub fn new(what: Trouble, at_s: Range) -> Self {
+        Self {
+            what,
+            at_s,
+            for_s: None,
+            who: None,
+            count: None,
+            share: None,
+            zone: None,
+            factor: None,
+            from: None,
+            to: None,
+            one_way: false,
+            cold: false,
+            step_s: None,
+        }
+    }
+}
+
 impl Trouble {
     /// Whether it picks nodes, servers, or neither.
     pub fn picks(self) -> Picks {
--- a/model/src/shard/troubles.rs
+++ b/model/src/shard/troubles.rs
@@ -1,6 +1,7 @@
 //! Faults that begin and end.
 
 use super::*;
+use crate::timeline::Instance;
 
 impl Shard {
     pub(super) fn step(&mut self, number: usize, begins: bool) {
@@ -88,10 +89,8 @@
     /// The process that is at a place now, if it is in this zone.
     pub(super) fn on_server(&mut self, server: usize, then: impl FnOnce(&mut Self, u32)) {
         let timeline = &self.common.timeline;
-        let here = |i: &crate::timeline::Instance| {
-            i.server == server && i.starts <= self.now && i.ends.is_none_or(|end| self.now < end)
-        };
-        let at = timeline.instances.iter().position(|instance| here(instance) && instance.zone == self.zone);
+        let here = |i: &Instance| i.zone == self.zone && i.is_at(server, self.now);
+        let at = timeline.instances.iter().position(here);
         if let Some(instance) = at {
             then(self, instance as u32);
             self.look_after(instance as u32);
--- a/model/src/timeline.rs
+++ b/model/src/timeline.rs
@@ -31,6 +31,13 @@
     pub ends: Option<Nanos>,
 }
 
+impl Instance {
+    /// Whether it is the process at a server's place at this time.
+    pub fn is_at(&self, server: usize, now: Nanos) -> bool {
+        self.server == server && self.starts <= now && self.ends.is_none_or(|end| now < end)
+    }
+}
+
 /// A change of the list.
 #[derive(Clone, Copy, Debug)]
 pub struct Change {
@@ -92,9 +99,7 @@
         let mut tell = |at: Nanos, member: Member| changes.push(Change { at, member });
         // The process that is at a place when a step begins.
         let at_place = |instances: &[Instance], server: usize, at: Nanos| {
-            let here =
-                |i: &Instance| i.server == server && i.starts <= at && i.ends.is_none_or(|end| at < end);
-            instances.iter().position(here)
+            instances.iter().position(|instance| instance.is_at(server, at))
         };
         for step in &steps {
             match step.act {
@@ -159,7 +164,7 @@
             _ => end == party.0,
         };
         let mut found = None;
-        for step in self.steps.iter().filter(|s| s.at <= now && s.until.is_none_or(|until| now < until)) {
+        for step in self.steps.iter().filter(|step| step.is_on(now)) {
             let Act::Link(one, other, one_way, trouble) = step.act else { continue };
             let forth = matches(one, from) && matches(other, to);
             let back = !one_way && matches(other, from) && matches(one, to);
@@ -180,8 +185,7 @@
         let mut orders: Vec<ZoneOrder> = Vec::new();
         for step in &self.steps {
             let Act::OrderZone(zone, share) = step.act else { continue };
-            let stands = step.at <= now && step.until.is_none_or(|until| now < until);
-            let share = if stands { share } else { 1.0 };
+            let share = if step.is_on(now) { share } else { 1.0 };
             match orders.iter_mut().find(|order| order.zone == ZoneId(zone)) {
                 Some(order) => order.share = order.share.min(share),
                 None => orders.push(ZoneOrder { zone: ZoneId(zone), region: 0, share }),
@@ -193,9 +197,7 @@
     /// The share of calls that the list service turns away now.
     pub fn turned_away(&self, now: Nanos) -> f64 {
         let share = |step: &Step| match step.act {
-            Act::BusyDiscovery(share) if step.at <= now && step.until.is_none_or(|until| now < until) => {
-                share
-            }
+            Act::BusyDiscovery(share) if step.is_on(now) => share,
             _ => 0.0,
         };
         self.steps.iter().map(share).fold(0.0, f64::max)
@@ -204,7 +206,7 @@
     /// Whether the list service is silent now, and how much later than usual it tells.
     pub fn discovery(&self, now: Nanos) -> (bool, Nanos) {
         let mut told = (false, 0);
-        for step in self.steps.iter().filter(|s| s.at <= now && s.until.is_none_or(|until| now < until)) {
+        for step in self.steps.iter().filter(|step| step.is_on(now)) {
             match step.act {
                 Act::SilentDiscovery | Act::RubbishDiscovery => told.0 = true,
                 Act::LateDiscovery(late) => told.1 = late.max(told.1),
--- a/model/src/world.rs
+++ b/model/src/world.rs
@@ -205,6 +205,13 @@
     pub act: Act,
 }
 
+impl Step {
+    /// Whether it lasts at this time, on the clock of its own times.
+    pub fn is_on(&self, now: Nanos) -> bool {
+        self.at <= now && self.until.is_none_or(|until| now < until)
+    }
+}
+
 /// The figures of the rules.
 #[derive(Clone, Copy, Debug)]
 pub struct RuleInfo {
--- a/model/tests/virtual_time.rs
+++ b/model/tests/virtual_time.rs
@@ -12,21 +12,7 @@
 }
 
 fn fault(what: Trouble) -> Fault {
-    Fault {
-        what,
-        at_s: Range::only(5.0),
-        for_s: Some(Range::only(6.0)),
-        who: None,
-        count: None,
-        share: None,
-        zone: None,
-        factor: None,
-        from: None,
-        to: None,
-        one_way: false,
-        cold: false,
-        step_s: None,
-    }
+    Fault { for_s: Some(Range::only(6.0)), ..Fault::new(what, Range::only(5.0)) }
 }
 
 fn plan(faults: Vec<Fault>) -> Plan {
--- a/model/tests/wayward.rs
+++ b/model/tests/wayward.rs
@@ -56,21 +56,8 @@
 
 /// The rules that nodes break which are bent in this way.
 fn broken(bend: Bend) -> Vec<String> {
-    let replaced = Fault {
-        what: Trouble::ReplaceServer,
-        at_s: Range::only(3.0),
-        for_s: None,
-        who: Some("s0".to_owned()),
-        count: None,
-        share: None,
-        zone: None,
-        factor: None,
-        from: None,
-        to: None,
-        one_way: false,
-        cold: false,
-        step_s: None,
-    };
+    let replaced =
+        Fault { who: Some("s0".to_owned()), ..Fault::new(Trouble::ReplaceServer, Range::only(3.0)) };
     let mut plan = Plan { faults: vec![replaced], ..Plan::default() };
     plan.fleet.zones.truncate(1);
     plan.check().expect("a plan that makes sense");
--- a/rig/src/agents.rs
+++ b/rig/src/agents.rs
@@ -200,13 +200,10 @@
 
     fn trouble(&self) -> Option<Act> {
         let now = self.shared.clock.now();
-        let on = |step: &&flaxdale_model::world::Step| {
-            step.at <= now && step.until.is_none_or(|until| now < until)
-        };
         let is =
             |act: &Act| matches!(act, Act::SilentDiscovery | Act::RubbishDiscovery | Act::BusyDiscovery(_));
         let timeline = self.shared.timeline();
-        timeline.steps.iter().filter(on).map(|step| step.act.clone()).find(is)
+        timeline.steps.iter().filter(|step| step.is_on(now)).map(|step| step.act.clone()).find(is)
     }
 
     fn answer_whole(&self, known: usize) -> Value {
--- a/rig/src/sockets.rs
+++ b/rig/src/sockets.rs
@@ -668,10 +668,7 @@
     fn on_server(&self, place: usize, then: impl Fn(&AppServer)) {
         let now = self.shared.clock.now();
         let timeline = self.shared.timeline();
-        let here = |server: &&Arc<AppServer>| {
-            let instance = timeline.instances[server.instance as usize];
-            instance.server == place && instance.starts <= now && instance.ends.is_none_or(|end| now < end)
-        };
+        let here = |server: &&Arc<AppServer>| timeline.instances[server.instance as usize].is_at(place, now);
         match self.servers.iter().find(here) {
             Some(server) => then(server),
             None => self.shared.event("fault-missed", json!({"server": place, "why": "not there"})),
