Let nodes and replicas of a run share one process with its lives

Starting, pausing, ending, reaping and measuring a process stood in the rig's nodes and again in its replicas, with the keeper told in both.

--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -5,9 +5,10 @@
 //!
 //! [`experiment`] reads what is to be played, [`play`] plays it and writes the results, [`compare`] holds two results
 //! against each other. On sockets [`sockets`] runs the parties: [`servers`] (emulated app servers), [`agents`] (the list
-//! service), [`relay`] (links that can be cut), [`callers`] (clients) and [`nodes`] (the real processes, with the [`orders`] in their fleet files), which
-//! [`keeper`] ends if the rig can't. Where a fleet has its own registry, [`registry`] plays it: [`replicas`] are its processes, [`registrants`] who
-//! registers there, and [`watchers`] clients that keep account of what it tells.
+//! service), [`relay`] (links that can be cut), [`callers`] (clients) and [`nodes`] (the real processes, each a
+//! [`process`], with the [`orders`] in their fleet files), which [`keeper`] ends if the rig can't. Where a fleet has its
+//! own registry, [`registry`] plays it: [`replicas`] are its processes, [`registrants`] who registers there, and
+//! [`watchers`] clients that keep account of what it tells.
 
 pub mod agents;
 pub mod callers;
@@ -19,6 +20,7 @@
 pub mod nodes;
 pub mod orders;
 pub mod play;
+pub mod process;
 pub mod rank;
 pub mod registrants;
 pub mod registry;
--- a/rig/src/nodes.rs
+++ b/rig/src/nodes.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -19,12 +19,11 @@
 use crate::keeper::{Keeper, signal};
 use crate::listener::Port;
 use crate::orders::FleetFile;
+use crate::process::{Ended, Holds, Process};
 use crate::shared::{Shared, lock};
 
 /// How often a node that starts is looked at.
 const LOOK: Duration = Duration::from_millis(10);
-/// A node that was told to end has this long before it is killed.
-const END_PATIENCE: Duration = Duration::from_secs(8);
 
 /// Why a node is not there.
 #[derive(Debug, thiserror::Error)]
@@ -95,12 +94,6 @@
     pub keeper: Option<Keeper>,
 }
 
-struct Life {
-    child: Child,
-    /// Wanted to end: its end is no crash.
-    told: bool,
-}
-
 /// One node.
 pub struct NodeProcess {
     /// Its position among the world's nodes.
@@ -109,7 +102,7 @@
     pub name: String,
     program: Arc<Program>,
     shared: Arc<Shared>,
-    life: Mutex<Option<Life>>,
+    process: Process,
     at: Mutex<Option<SocketAddr>>,
     /// Its port is its own also while it is down.
     port: Mutex<Option<Port>>,
@@ -118,23 +111,13 @@
     starts: Mutex<u32>,
 }
 
-/// How much of the machine a process holds.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Holds {
-    /// Resident memory, in kibibytes.
-    pub memory_kib: u64,
-    /// Descriptors.
-    pub descriptors: u64,
-    /// Processor time so far, in clock ticks of a hundredth of a second.
-    pub cpu_ticks: u64,
-}
-
 impl NodeProcess {
     /// A node that has not started yet.
     pub fn new(program: Arc<Program>, shared: Arc<Shared>, number: usize, fleet: Option<FleetFile>) -> Self {
         let name = shared.world.nodes[number].name.clone();
-        let (life, at, port, starts) = Default::default();
-        Self { number, name, program, shared, life, at, port, fleet, starts }
+        let process = Process::new(program.clone());
+        let (at, port, starts) = Default::default();
+        Self { number, name, program, shared, process, at, port, fleet, starts }
     }
 
     /// Where it listens, once it has.
@@ -144,7 +127,7 @@
 
     /// Its process's number, while there is one.
     pub fn pid(&self) -> Option<u32> {
-        lock(&self.life).as_ref().map(|life| life.child.id())
+        self.process.pid()
     }
 
     /// Its log.
@@ -199,11 +182,7 @@
                 program: self.program.binary.display().to_string(),
                 source,
             })?;
-        let pid = child.id();
-        if let Some(keeper) = &self.program.keeper {
-            keeper.started(pid);
-        }
-        *lock(&self.life) = Some(Life { child, told: false });
+        let pid = self.process.started(child);
         self.shared.event("node-started", json!({"node": name, "pid": pid, "start": started}));
         let patience = Instant::now() + self.program.patience;
         let at = loop {
@@ -232,7 +211,7 @@
     }
 
     fn still_there(&self, patience: Instant) -> Result<(), NodeError> {
-        let ended = lock(&self.life).as_mut().and_then(|life| life.child.try_wait().ok().flatten());
+        let ended = self.process.has_ended();
         let (name, tail) = (self.name.clone(), || tail(&self.log()));
         match ended {
             Some(status) => Err(NodeError::Ended { name, status, tail: tail() }),
@@ -278,79 +257,33 @@
 
     /// Pauses it, or lets it go on.
     pub fn pause(&self, paused: bool) -> bool {
-        self.pid().is_some_and(|pid| signal(pid, if paused { Signal::STOP } else { Signal::CONT }))
+        self.process.pause(paused)
     }
 
     /// Kills it outright.
     pub async fn kill(&self) {
-        self.tell_off(Signal::KILL);
-        self.gone(END_PATIENCE).await;
+        self.process.end(Signal::KILL, || drop(self.reap())).await;
     }
 
     /// Tells it to end, and waits until it has. Whether it did so by itself.
     pub async fn stop(&self) -> bool {
-        self.tell_off(Signal::TERM);
-        let ended = self.gone(END_PATIENCE).await;
-        if !ended {
-            self.kill().await;
-        }
-        ended
-    }
-
-    fn tell_off(&self, how: Signal) {
-        if let Some(life) = lock(&self.life).as_mut() {
-            life.told = true;
-            signal(life.child.id(), how);
-        }
-    }
-
-    /// Waits until its process has ended. False if it did not in time; true if there is none.
-    async fn gone(&self, patience: Duration) -> bool {
-        let until = Instant::now() + patience;
-        loop {
-            if self.reap().is_none() && self.pid().is_none() {
-                return true;
-            }
-            if Instant::now() >= until {
-                return self.pid().is_none();
-            }
-            sleep(LOOK).await;
-        }
+        self.process.stop(|| drop(self.reap())).await
     }
 
     /// Takes the end of its process, if it has ended. The text says how, for one that was not told to.
     pub fn reap(&self) -> Option<String> {
-        let mut life = lock(&self.life);
-        let status = life.as_mut()?.child.try_wait().ok().flatten()?;
-        let ended = life.take()?;
-        drop(life);
-        let pid = ended.child.id();
-        if let Some(keeper) = &self.program.keeper {
-            keeper.ended(pid);
-        }
+        let Ended { pid, status, told } = self.process.reap()?;
         let (code, by) = (status.code(), status.signal());
         self.shared.event("node-ended", json!({"node": self.name, "pid": pid, "code": code, "signal": by}));
-        (!ended.told).then(|| format!("{} ended by itself ({status}): {}", self.name, tail(&self.log())))
+        (!told).then(|| format!("{} ended by itself ({status}): {}", self.name, tail(&self.log())))
     }
 
     /// What its process holds.
     pub fn holds(&self) -> Option<Holds> {
-        holds(self.pid()?)
+        self.process.holds()
     }
 }
 
-/// What a process holds, as the system tells it.
-pub fn holds(pid: u32) -> Option<Holds> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-    let memory_kib = memory.trim().trim_end_matches("kB").trim().parse().ok()?;
-    let descriptors = std::fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count() as u64;
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
-    let fields: Vec<&str> = stat.rsplit_once(") ")?.1.split(' ').collect();
-    let ticks = |at: usize| fields.get(at).and_then(|field| field.parse::<u64>().ok()).unwrap_or(0);
-    Some(Holds { memory_kib, descriptors, cpu_ticks: ticks(11) + ticks(12) })
-}
-
 fn seed_of(shared: &Shared, node: usize, start: u32) -> u64 {
     use rand::RngExt;
     let mut rng = flaxdale_model::world::stream(shared.world.seed, 30_000 + node as u64);
--- a/rig/src/replicas.rs
+++ b/rig/src/replicas.rs
@@ -4,8 +4,8 @@
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::process::{Command, Stdio};
+use std::sync::Arc;
 use std::time::Duration;
 
 use flaxdale_fleet::call::{Call, Link};
@@ -15,16 +15,14 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep};
 
-use crate::keeper::signal;
 use crate::listener::Port;
-use crate::nodes::{Holds, Program, holds};
+use crate::nodes::Program;
+use crate::process::{Ended, Holds, Process};
 use crate::relay::Link as Relay;
-use crate::shared::{Shared, lock};
+use crate::shared::Shared;
 
-/// How often a replica that starts or ends is looked at.
+/// How often a replica that starts is looked at.
 const LOOK: Duration = Duration::from_millis(20);
-/// A replica that was told to end has this long before it is killed.
-const END_PATIENCE: Duration = Duration::from_secs(8);
 const ASK: Duration = Duration::from_secs(1);
 const MOST_ANSWER: usize = 1024 * 1024;
 
@@ -37,8 +35,7 @@
     config: PathBuf,
     data: PathBuf,
     log: PathBuf,
-    /// Its process, and whether it is wanted to end.
-    life: Mutex<Option<(Child, bool)>>,
+    process: Process,
     _ports: [Port; 2],
 }
 
@@ -47,7 +44,6 @@
     /// They, by number.
     pub all: Vec<Replica>,
     binary: PathBuf,
-    program: Arc<Program>,
     shared: Arc<Shared>,
 }
 
@@ -85,10 +81,10 @@
             let config = program.configs.join(format!("{name}.toml"));
             let text = toml::to_string(&settings).map_err(std::io::Error::other)?;
             std::fs::write(&config, text)?;
-            let (log, life) = (program.logs.join(format!("{name}.log")), Mutex::default());
-            all.push(Replica { name, client, config, data, log, life, _ports: ports });
+            let (log, process) = (program.logs.join(format!("{name}.log")), Process::new(program.clone()));
+            all.push(Replica { name, client, config, data, log, process, _ports: ports });
         }
-        Ok(Self { all, binary, program, shared })
+        Ok(Self { all, binary, shared })
     }
 
     /// Starts one.
@@ -105,11 +101,7 @@
             .stdout(Stdio::null())
             .stderr(log)
             .spawn()?;
-        let pid = child.id();
-        if let Some(keeper) = &self.program.keeper {
-            keeper.started(pid);
-        }
-        *lock(&one.life) = Some((child, false));
+        let pid = one.process.started(child);
         self.shared.event("replica-started", json!({"replica": one.name, "pid": pid}));
         Ok(())
     }
@@ -164,23 +156,22 @@
 
     /// Its process's number, while there is one.
     pub fn pid(&self, at: usize) -> Option<u32> {
-        lock(&self.all[at].life).as_ref().map(|(child, _)| child.id())
+        self.all[at].process.pid()
     }
 
     /// What its process holds.
     pub fn holds(&self, at: usize) -> Option<Holds> {
-        holds(self.pid(at)?)
+        self.all[at].process.holds()
     }
 
     /// Pauses one, or lets it go on.
     pub fn pause(&self, at: usize, paused: bool) -> bool {
-        self.pid(at).is_some_and(|pid| signal(pid, if paused { Signal::STOP } else { Signal::CONT }))
+        self.all[at].process.pause(paused)
     }
 
     /// Kills one outright; its store stays, or goes with it.
     pub async fn kill(&self, at: usize, store: bool) {
-        self.tell_off(at, Signal::KILL);
-        self.gone(at).await;
+        self.all[at].process.end(Signal::KILL, || drop(self.reap(at))).await;
         if !store && let Err(error) = std::fs::remove_dir_all(&self.all[at].data) {
             self.shared
                 .event("rig-trouble", json!({"replica": self.all[at].name, "cause": error.to_string()}));
@@ -190,40 +181,13 @@
     /// Tells one to end, and waits until it has. Whether it did so by itself.
     pub async fn stop(&self, at: usize) -> bool {
         self.pause(at, false);
-        self.tell_off(at, Signal::TERM);
-        let ended = self.gone(at).await;
-        if !ended {
-            self.kill(at, true).await;
-        }
-        ended
-    }
-
-    fn tell_off(&self, at: usize, how: Signal) {
-        if let Some((child, told)) = lock(&self.all[at].life).as_mut() {
-            *told = true;
-            signal(child.id(), how);
-        }
-    }
-
-    async fn gone(&self, at: usize) -> bool {
-        let until = Instant::now() + END_PATIENCE;
-        while self.pid(at).is_some() && Instant::now() < until {
-            self.reap(at);
-            sleep(LOOK).await;
-        }
-        self.pid(at).is_none()
+        self.all[at].process.stop(|| drop(self.reap(at))).await
     }
 
     /// Takes the end of its process, if it has ended. The text says how, for one that was not told to.
     pub fn reap(&self, at: usize) -> Option<String> {
         let one = &self.all[at];
-        let mut life = lock(&one.life);
-        let status = life.as_mut()?.0.try_wait().ok().flatten()?;
-        let (child, told) = life.take()?;
-        drop(life);
-        if let Some(keeper) = &self.program.keeper {
-            keeper.ended(child.id());
-        }
+        let Ended { status, told, .. } = one.process.reap()?;
         self.shared.event("replica-ended", json!({"replica": one.name, "status": status.to_string()}));
         (!told).then(|| format!("{} ended by itself ({status})", one.name))
     }
