Share the processes' clock and their tether

The node and the rig had the same clock, line for line, and must have: the rig's times are compared with its nodes'. The node and the registry's replica had the same few lines that end a process with whoever started it, under one variable's name in four places.

Both are in fleet now, which all of these use. Nothing else changes.

--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -7,6 +7,7 @@
 use clap::{Args, Subcommand, ValueEnum};
 use flaxdale_fleet::file::Fleet;
 use flaxdale_fleet::follow::PATH;
+use flaxdale_fleet::tether;
 use flaxdale_registry::client::{Client, ClientError};
 use flaxdale_registry::list::MOST_PART;
 use flaxdale_registry::serve::{ServeError, serve};
@@ -19,8 +20,6 @@
 use crate::print::{complain, say};
 use crate::rig::runtime;
 
-/// Set to `stdin` by a program that starts replicas and must not leave any behind: a replica ends with its input.
-const TETHER: &str = "EDGE_TETHER";
 /// A backup larger than this is none.
 const MOST_BACKUP: u64 = 256 * 1024 * 1024;
 
@@ -389,9 +388,7 @@
             complain("signals can't be heeded");
             return Exit::Machine;
         };
-        if std::env::var(TETHER).is_ok_and(|to| to == "stdin") {
-            end_with_input();
-        }
+        tether::heed();
         let serving = match serve(settings).await {
             Ok(serving) => serving,
             Err(error) => {
@@ -410,12 +407,3 @@
         Exit::Well
     }
 }
-
-/// Ends the process outright once whoever started it has gone, which closes its standard input.
-fn end_with_input() {
-    std::thread::spawn(|| {
-        // What comes is not looked at; an input that can't be read has no one at its other end either.
-        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
-        std::process::exit(0);
-    });
-}
--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -2,12 +2,10 @@
 //! action asks of the network is left to a [`Launcher`]. Nothing is decided here, and no borrow of the driver
 //! outlives one of its calls.
 //!
-//! This file holds the turn of events. Beside it: `clock`, the node's one clock; `exchange`, what passes between
-//! the driver and the sockets; `requests`, whom each answer goes to; `backends`, names, numbers and addresses;
-//! `timers`, what comes due.
+//! This file holds the turn of events. Beside it: `exchange`, what passes between the driver and the sockets;
+//! `requests`, whom each answer goes to; `backends`, names, numbers and addresses; `timers`, what comes due.
 
 mod backends;
-mod clock;
 mod exchange;
 mod requests;
 #[cfg(test)]
@@ -24,11 +22,11 @@
     RequestId, Settings, SettingsError, Settlement, ZoneId, ZoneOrder,
 };
 use brookfield_settings::Words;
+pub use flaxdale_fleet::clock::Clock;
 use flaxdale_fleet::file::Fleet;
 use tokio::sync::{Notify, oneshot};
 
 use backends::Backends;
-pub use clock::Clock;
 pub use exchange::{Asked, Call, Ending, Launch, ListState, Listed, Reply, Ticket};
 use requests::Requests;
 use timers::{Due, Timers};
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use flaxdale_fleet::file::Fleet;
+use flaxdale_fleet::tether;
 use serde::Deserialize;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -41,8 +42,6 @@
 const STARTED: &str = "badgerpost::started";
 /// Names the fleet file. Without one the node knows of no fleet, and its agent tells it the list.
 const FLEET: &str = "EDGE_FLEET";
-/// Set to `stdin` by a program that starts nodes and must not leave any behind: the node ends with its input.
-const TETHER: &str = "EDGE_TETHER";
 
 /// What the node is told at its start.
 #[derive(Deserialize)]
@@ -118,9 +117,7 @@
 
 async fn serve(config: Config, log: Arc<log::Bound>) -> Result<(), StartError> {
     spawn_local(log.report());
-    if std::env::var(TETHER).is_ok_and(|to| to == "stdin") {
-        end_with_input();
-    }
+    tether::heed();
     let site = brookfield_settings::read(&config.settings).map_err(StartError::Settings)?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::Seed(config.seed.clone()))?;
     let (clients, backends) = shares(config.limits.sockets)?;
@@ -164,15 +161,6 @@
     Ok(())
 }
 
-/// Ends the process outright once whoever started it has gone, which closes its standard input.
-fn end_with_input() {
-    std::thread::spawn(|| {
-        // What comes is not looked at; an input that can't be read has no one at its other end either.
-        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
-        std::process::exit(0);
-    });
-}
-
 /// How many descriptors clients and backends may hold. A third of all is in use by clients' requests at
 /// most, and each of those has one connection to a backend; what is left over is for peers that ask nothing
 /// and hold theirs until their time is up.
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -12,7 +12,6 @@
 
 pub mod agents;
 pub mod callers;
-pub mod clock;
 pub mod compare;
 pub mod experiment;
 pub mod keeper;
--- a/rig/src/shared.rs
+++ b/rig/src/shared.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use brookfield::Nanos;
+use flaxdale_fleet::clock::Clock;
 use flaxdale_model::keys::Keys;
 use flaxdale_model::ledger::{Ledger, Rule};
 use flaxdale_model::measure::Tally;
@@ -13,8 +14,6 @@
 use serde_json::{Value, json};
 use tokio::sync::watch;
 
-use crate::clock::Clock;
-
 /// Events that are kept; what comes after is counted only.
 const MOST_EVENTS: usize = 200_000;
 
--- a/rig/src/sockets.rs
+++ b/rig/src/sockets.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use brookfield::Nanos;
+use flaxdale_fleet::clock::Clock;
 use flaxdale_model::ledger::{Ledger, Limits, Rule};
 use flaxdale_model::measure::Second;
 use flaxdale_model::plan::Range;
@@ -23,7 +24,6 @@
 
 use crate::agents::{Agent, Endpoints};
 use crate::callers::{ANSWER_SLACK, Callers};
-use crate::clock::Clock;
 use crate::experiment::Experiment;
 use crate::keeper::Keeper;
 use crate::nodes::{NodeError, NodeProcess, Program};
