Take out second copies in the command line and the registry

print::conclude, Refusal::reason, one question, a store that gives the state back after writing it, and Doors in serve. The answers are what they were.

--- a/cli/src/check.rs
+++ b/cli/src/check.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 use crate::Exit;
-use crate::print::{complain, say};
+use crate::print::conclude;
 
 /// Checks a file by what its name says it is.
 pub fn check(file: &Path) -> Exit {
@@ -24,16 +24,7 @@
             file.display()
         )),
     };
-    match told {
-        Ok(text) => {
-            say(&text);
-            Exit::Well
-        }
-        Err(problem) => {
-            complain(&problem);
-            Exit::Usage
-        }
-    }
+    conclude(told)
 }
 
 /// What a TOML file is meant to be.
--- a/cli/src/print.rs
+++ b/cli/src/print.rs
@@ -4,6 +4,8 @@
 
 use flaxdale_rig::sockets::Progress;
 
+use crate::Exit;
+
 /// A line on standard output.
 pub fn say(text: &str) {
     let _ = writeln!(std::io::stdout(), "{text}");
@@ -14,6 +16,20 @@
     let _ = writeln!(std::io::stderr(), "flaxdale: {text}");
 }
 
+/// Says what a command came to, or what was wrong with what it was given.
+pub fn conclude(done: Result<String, String>) -> Exit {
+    match done {
+        Ok(text) => {
+            say(&text);
+            Exit::Well
+        }
+        Err(problem) => {
+            complain(&problem);
+            Exit::Usage
+        }
+    }
+}
+
 /// How a run goes, in one line: over the last one on a terminal, else below it.
 pub fn live(progress: &Progress) {
     let lately = &progress.lately;
--- a/cli/src/zone.rs
+++ b/cli/src/zone.rs
@@ -8,7 +8,7 @@
 use toml_edit::{DocumentMut, Item, Table, value};
 
 use crate::Exit;
-use crate::print::{complain, say};
+use crate::print::conclude;
 
 /// Order what part of the requests a zone may be given, in a fleet file that nodes read again at SIGHUP.
 #[derive(Subcommand)]
@@ -59,16 +59,7 @@
                 Fleet::read(&file).map_err(|error| error.to_string()).map(|fleet| told(&fleet))
             }
         };
-        match done {
-            Ok(text) => {
-                say(&text);
-                Exit::Well
-            }
-            Err(problem) => {
-                complain(&problem);
-                Exit::Usage
-            }
-        }
+        conclude(done)
     }
 }
 
--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -82,10 +82,7 @@
                 return serde_json::from_slice(&answer.body)
                     .map_err(|source| ClientError::Malformed { at, source });
             }
-            let text = match serde_json::from_slice::<Refusal>(&answer.body) {
-                Ok(refusal) => refusal.error,
-                Err(_) => String::from_utf8_lossy(&answer.body).into_owned(),
-            };
+            let text = Refusal::reason(&answer.body);
             match answer.status.as_u16() {
                 // Another replica may know more.
                 503 | 504 => reasons.push(format!("{at}: {text}")),
--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -1,6 +1,5 @@
 //! What clients and operators, and the other replicas, may call, and how a call becomes an operation.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -248,15 +247,6 @@
     Ok(response)
 }
 
-/// Where a replica's two doors are.
-#[derive(Clone, Copy, Debug)]
-pub struct Doors {
-    /// For clients.
-    pub clients: SocketAddr,
-    /// For the other replicas.
-    pub peers: SocketAddr,
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/registry/src/machine.rs
+++ b/registry/src/machine.rs
@@ -125,9 +125,9 @@
         meta: &SnapshotMeta<ReplicaId, Place>,
         snapshot: Box<State>,
     ) -> Result<(), StorageError> {
-        let kept = self.store.keep_snapshot(meta.clone(), (*snapshot).clone()).await;
-        kept.map_err(|error| StorageIOError::write_snapshot(Some(meta.signature()), &error))?;
-        self.shared.change(|state| *state = *snapshot);
+        let kept = self.store.keep_snapshot(meta.clone(), *snapshot).await;
+        let kept = kept.map_err(|error| StorageIOError::write_snapshot(Some(meta.signature()), &error))?;
+        self.shared.change(|state| *state = kept);
         Ok(())
     }
 
@@ -154,7 +154,7 @@
                 .map_or_else(|| "empty".to_owned(), |id| format!("{}-{}", id.leader_id, id.index)),
         };
         let kept = self.store.keep_snapshot(meta.clone(), self.state.clone()).await;
-        kept.map_err(|error| StorageIOError::write_snapshot(Some(meta.signature()), &error))?;
-        Ok(Snapshot { meta, snapshot: Box::new(self.state.clone()) })
+        let kept = kept.map_err(|error| StorageIOError::write_snapshot(Some(meta.signature()), &error))?;
+        Ok(Snapshot { meta, snapshot: Box::new(kept) })
     }
 }
--- a/registry/src/replica/forward.rs
+++ b/registry/src/replica/forward.rs
@@ -99,10 +99,7 @@
             return serde_json::from_slice(&answer.body)
                 .map_err(|error| Trouble::refused(502, format!("replica {peer}: {error}")));
         }
-        let text = match serde_json::from_slice::<Refusal>(&answer.body) {
-            Ok(refusal) => refusal.error,
-            Err(_) => String::from_utf8_lossy(&answer.body).into_owned(),
-        };
+        let text = Refusal::reason(&answer.body);
         let status = answer.status.as_u16();
         let again = matches!(status, 421 | 503 | 504).then_some(SOON);
         // One that is not the replica that was meant will not become it.
--- a/registry/src/replica/status.rs
+++ b/registry/src/replica/status.rs
@@ -31,7 +31,7 @@
     /// How it stands, for a person or a script.
     pub fn status(&self) -> Value {
         let metrics = self.raft.metrics().borrow().clone();
-        let levels = self.levels();
+        let (levels, unready) = (self.levels(), self.unready());
         let voters = self.voters();
         let replicas: Vec<Value> = self
             .members()
@@ -60,7 +60,7 @@
             .collect();
         json!({
             "fleet": self.settings.fleet, "id": self.id, "leads": levels.leads,
-            "ready": self.unready().is_none(), "unready": self.unready(),
+            "ready": unready.is_none(), "unready": unready,
             "term": levels.term, "applied": levels.applied, "log": metrics.last_log_index,
             "snapshot": metrics.snapshot.map(|id| id.index), "purged": metrics.purged.map(|id| id.index),
             "incarnation": state.list.incarnation(), "rev": levels.rev,
--- a/registry/src/serve.rs
+++ b/registry/src/serve.rs
@@ -22,7 +22,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio_io_timeout::TimeoutWriter;
 
-use crate::http::{Doors, clients, peers, watch};
+use crate::http::{clients, peers, watch};
 use crate::replica::{Replica, StartError};
 use crate::settings::Settings;
 
@@ -55,6 +55,15 @@
     Start(#[from] StartError),
 }
 
+/// Where a replica's two doors are.
+#[derive(Clone, Copy, Debug)]
+pub struct Doors {
+    /// For clients.
+    pub clients: SocketAddr,
+    /// For the other replicas.
+    pub peers: SocketAddr,
+}
+
 /// A replica that serves.
 pub struct Serving {
     /// It.
--- a/registry/src/store.rs
+++ b/registry/src/store.rs
@@ -157,11 +157,12 @@
         .await
     }
 
-    /// Keeps a snapshot in place of the last one.
-    pub async fn keep_snapshot(&self, meta: Meta, state: State) -> Result<(), StoreError> {
+    /// Keeps a snapshot in place of the last one, and gives its state back.
+    pub async fn keep_snapshot(&self, meta: Meta, state: State) -> Result<State, StoreError> {
         self.change(move |database| {
             let values = [(SNAPSHOT_META, encoded(&meta)?), (SNAPSHOT, encoded(&state)?)];
-            write(database, Durability::Immediate, &values)
+            write(database, Durability::Immediate, &values)?;
+            Ok(state)
         })
         .await
     }
--- a/registry/src/wire.rs
+++ b/registry/src/wire.rs
@@ -182,3 +182,13 @@
     /// The reason.
     pub error: String,
 }
+
+impl Refusal {
+    /// The reason that a body tells; one that is none of ours is the reason itself.
+    pub fn reason(body: &[u8]) -> String {
+        match serde_json::from_slice::<Self>(body) {
+            Ok(refusal) => refusal.error,
+            Err(_) => String::from_utf8_lossy(body).into_owned(),
+        }
+    }
+}
