--- a/registry/src/peers.rs
+++ b/registry/src/peers.rs
@@ -3,6 +3,7 @@
 //! at the same address, is turned away.
 
 use std::collections::{BTreeMap, HashMap};
+use std::error::Error;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -117,46 +118,31 @@
     peers: Peers,
 }
 
-/// Why a message brought nothing.
-enum Lost {
-    Unreachable(Unreachable),
-    Unsendable(NetworkError),
-}
-
 impl Peer {
-    async fn send<Q: Serialize, A: DeserializeOwned>(
-        &self,
-        path: &str,
-        message: &Q,
-        patience: Duration,
-    ) -> Result<A, Lost> {
-        let unreachable = |text: String| Lost::Unreachable(Unreachable::new(&std::io::Error::other(text)));
+    /// Sends a message and takes the answer, which may be the other replica's error `E`. What can go wrong is worded in the
+    /// library's terms for this kind of message.
+    async fn send<Q, A, E, X>(&self, path: &str, message: &Q, patience: Duration) -> Result<A, X>
+    where
+        Q: Serialize,
+        A: DeserializeOwned,
+        E: Error + DeserializeOwned,
+        X: From<Unreachable> + From<NetworkError> + From<RemoteError<ReplicaId, Place, E>>,
+    {
+        let unreachable = |text: String| X::from(Unreachable::new(&std::io::Error::other(text)));
         if path != VOTE && self.peers.is_silent() {
             return Err(unreachable("kept back".to_owned()));
         }
-        let body =
-            serde_json::to_vec(message).map_err(|error| Lost::Unsendable(NetworkError::new(&error)))?;
+        let body = serde_json::to_vec(message).map_err(|error| NetworkError::new(&error))?;
         let call = Call::post(path, body, patience, MOST_MESSAGE);
         let answer = self.peers.call(self.place.peer, Some(self.target), call).await;
         let answer = answer.map_err(|error| unreachable(error.to_string()))?;
         if answer.status != hyper::StatusCode::OK {
-            return Err(unreachable(format!("{}: {}", answer.status, String::from_utf8_lossy(&answer.body))));
-        }
-        serde_json::from_slice(&answer.body).map_err(|error| unreachable(error.to_string()))
-    }
-
-    async fn rpc<Q: Serialize, A: DeserializeOwned>(
-        &self,
-        path: &str,
-        message: &Q,
-        option: &RPCOption,
-    ) -> Result<A, RPCError<ReplicaId, Place, RaftError<ReplicaId>>> {
-        match self.send::<_, Result<A, RaftError<ReplicaId>>>(path, message, option.hard_ttl()).await {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(RemoteError::new_with_node(self.target, self.place, error).into()),
-            Err(Lost::Unreachable(error)) => Err(error.into()),
-            Err(Lost::Unsendable(error)) => Err(error.into()),
+            let reason = String::from_utf8_lossy(&answer.body);
+            return Err(unreachable(format!("{}: {reason}", answer.status)));
         }
+        let answer: Result<A, E> =
+            serde_json::from_slice(&answer.body).map_err(|error| unreachable(error.to_string()))?;
+        answer.map_err(|error| RemoteError::new_with_node(self.target, self.place, error).into())
     }
 }
 
@@ -166,7 +152,7 @@
         rpc: AppendEntriesRequest<Types>,
         option: RPCOption,
     ) -> Result<AppendEntriesResponse<ReplicaId>, RPCError<ReplicaId, Place, RaftError<ReplicaId>>> {
-        self.rpc(APPEND, &rpc, &option).await
+        self.send(APPEND, &rpc, option.hard_ttl()).await
     }
 
     async fn vote(
@@ -174,7 +160,7 @@
         rpc: VoteRequest<ReplicaId>,
         option: RPCOption,
     ) -> Result<VoteResponse<ReplicaId>, RPCError<ReplicaId, Place, RaftError<ReplicaId>>> {
-        self.rpc(VOTE, &rpc, &option).await
+        self.send(VOTE, &rpc, option.hard_ttl()).await
     }
 
     async fn full_snapshot(
@@ -185,20 +171,9 @@
         option: RPCOption,
     ) -> Result<SnapshotResponse<ReplicaId>, StreamingError<Types, Fatal<ReplicaId>>> {
         let whole = Whole { vote, meta: snapshot.meta, state: *snapshot.snapshot };
-        let sent = self.send::<_, Result<SnapshotResponse<ReplicaId>, Fatal<ReplicaId>>>(
-            SNAPSHOT,
-            &whole,
-            option.hard_ttl(),
-        );
-        let sent = tokio::select! {
-            closed = cancel => return Err(closed.into()),
-            sent = sent => sent,
-        };
-        match sent {
-            Ok(Ok(answer)) => Ok(answer),
-            Ok(Err(error)) => Err(RemoteError::new_with_node(self.target, self.place, error).into()),
-            Err(Lost::Unreachable(error)) => Err(error.into()),
-            Err(Lost::Unsendable(error)) => Err(error.into()),
+        tokio::select! {
+            closed = cancel => Err(closed.into()),
+            sent = self.send(SNAPSHOT, &whole, option.hard_ttl()) => sent,
         }
     }
 
