Tell the module of orders only where a fleet file is named, and name what home may take

A node without a fleet file told its module of no orders at its start, which is work that nothing asked for; and the choice said the same of home twice in passing.

The start asks for orders where there is a file. The choice draws and picks in the order in which it did: the test that holds two nodes side by side and the other tests of the module pass as they were.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -127,9 +127,11 @@
     let node = Node::new(site.settings, site.words, seed, clock, Rc::new(upstream))
         .map_err(|error| StartError::Settings(error.to_string()))?;
     let (discovery, addresses) = watch::channel(config.discovery);
-    let fleet = read_fleet()?.unwrap_or_default();
-    node.order(&fleet).map_err(StartError::Orders)?;
-    let registry = fleet.registry;
+    let fleet = read_fleet()?;
+    if let Some(fleet) = &fleet {
+        node.order(fleet).map_err(StartError::Orders)?;
+    }
+    let registry = fleet.and_then(|fleet| fleet.registry);
     let (replicas, replicas_are) =
         watch::channel(registry.clone().map_or(Vec::new(), |known| known.addresses));
     let mut terminate = signal(SignalKind::terminate())?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -603,7 +603,7 @@
         } else {
             self.utilisation(home).is_none_or(|util| util < THRESHOLD)
         };
-        let under = under && at_home;
+        let (under, over) = (at_home && under, at_home && !under);
         if under && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
@@ -611,10 +611,7 @@
         if let Some(to) = target.filter(|&zone| self.may_go(zone)).and_then(|zone| self.pick(id, zone)) {
             return Some(to);
         }
-        if at_home
-            && !under
-            && let Some(to) = self.pick(id, home)
-        {
+        if over && let Some(to) = self.pick(id, home) {
             return Some(to);
         }
         // A full window is no reason to try one zone after the other: all nodes together would fill each.
@@ -623,10 +620,9 @@
         }
         // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can. Where a
         // subset is dead its zone may well be; past it, to all of home, only when no other zone is left.
-        let zones = 0..self.overflow.len();
-        let to = zones.into_iter().find_map(|at| {
+        let to = (0..self.overflow.len()).find_map(|at| {
             let zone = self.overflow[at];
-            self.may_go(zone).then(|| self.pick(id, zone))?
+            if self.may_go(zone) { self.pick(id, zone) } else { None }
         });
         let own = |b: &Backend| self.zones.get(b.member.zone.0 as usize).is_some_and(|z| b.lot <= z.subset);
         let lives = |b: &Backend| b.member.stage == Stage::InService && b.health == Health::Healthy;
