--- /dev/null
+++ b/node/src/server/tests.rs
@@ -0,0 +1,209 @@
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+use super::*;
+use crate::driver;
+use crate::driver::tests::{SECOND, listed};
+use brookfield::{ListScope, Stage};
+
+const MS: Nanos = 1_000_000;
+
+/// What a connection brings back until the node closes it, and how long that took on the paused clock.
+/// Each text is written a second after the one before. The node has no backends, and refuses.
+async fn until_closed(scarce: bool, texts: &[&str]) -> (String, Duration) {
+    let (phase, _) = watch::channel(Phase::Serving);
+    talk_in(&phase, scarce, texts, Duration::from_secs(1)).await
+}
+
+/// The same in any phase, and with another time between the texts.
+async fn talk_in(
+    phase: &watch::Sender<Phase>,
+    scarce: bool,
+    texts: &[&str],
+    apart: Duration,
+) -> (String, Duration) {
+    let (mut peer, stream) = tokio::io::duplex(4096);
+    let began = Instant::now();
+    let (node, _) = driver::tests::node(0);
+    let client = async {
+        for text in texts {
+            // One that is closed meanwhile is read to its end all the same.
+            let _ = peer.write_all(text.as_bytes()).await;
+            sleep(apart).await;
+        }
+        let mut got = String::new();
+        let _ = peer.read_to_string(&mut got).await;
+        got
+    };
+    let phases = phase.subscribe();
+    let talk = async { tokio::join!(client, converse(stream, node.clone(), phases, || scarce)).0 };
+    let got = tokio::select! {
+        got = talk => got,
+        () = node.run_timers() => unreachable!("timers run for ever"),
+    };
+    (got, began.elapsed())
+}
+
+fn closing() -> Phase {
+    Phase::Closing { answer_by: Instant::now() + Duration::from_secs(9) }
+}
+
+/// Turns to closing after this long.
+async fn close_after(phase: &watch::Sender<Phase>, span: Duration) {
+    sleep(span).await;
+    phase.send_replace(closing());
+    std::future::pending().await
+}
+
+/// A head that had come by half was dropped with its connection, and its request was lost.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_has_begun_to_come_is_taken_while_the_node_closes() {
+    let (phase, _) = watch::channel(Phase::Serving);
+    let (first, rest) = CALL.split_at(30);
+    let texts = [CALL, first, rest];
+    let got = tokio::select! {
+        talked = talk_in(&phase, false, &texts, Duration::from_millis(400)) => talked.0,
+        () = close_after(&phase, Duration::from_millis(600)) => unreachable!("it pends"),
+    };
+    assert_eq!(got.matches("HTTP/1.1 503 ").count(), 2, "{got}");
+    assert!(got.to_lowercase().contains("connection: close"), "{got}");
+}
+
+/// Clients go on using what stays open, up to the end: what came last found nobody to answer.
+#[tokio::test(start_paused = true)]
+async fn connections_without_a_request_are_closed_soon_on_the_way_out() {
+    let (phase, _) = watch::channel(Phase::Stopping);
+    let (got, took) = tokio::select! {
+        talked = talk_in(&phase, false, &[], Duration::ZERO) => talked,
+        () = close_after(&phase, Duration::from_millis(100)) => unreachable!("it pends"),
+    };
+    assert_eq!(got, "");
+    assert!(took <= Duration::from_millis(300), "one that came during the way out: {took:?}");
+    let (phase, _) = watch::channel(Phase::Serving);
+    let (_, took) = tokio::select! {
+        talked = talk_in(&phase, false, &[CALL], Duration::ZERO) => talked,
+        () = close_after(&phase, Duration::from_millis(100)) => unreachable!("it pends"),
+    };
+    assert!(took <= Duration::from_millis(110), "one that had asked before: {took:?}");
+}
+
+/// One that comes late, on a connection that had stayed open, was still out when the process ended.
+#[tokio::test(start_paused = true)]
+async fn what_comes_on_the_way_out_is_answered_before_the_node_may_be_killed() {
+    let (node, _launches) = driver::tests::node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let (mut peer, stream) = tokio::io::duplex(4096);
+    let answer_by = Instant::now() + Duration::from_millis(300);
+    let (_phase, phases) = watch::channel(Phase::Closing { answer_by });
+    let client = async {
+        peer.write_all(CALL.replace("X-Budget-Ms: 1\r", "X-Budget-Ms: 900\r").as_bytes())
+            .await
+            .expect("taken");
+        let mut got = String::new();
+        let _ = peer.read_to_string(&mut got).await;
+        (got, Instant::now())
+    };
+    let talk = async { tokio::join!(client, converse(stream, node.clone(), phases, || false)).0 };
+    let (got, at) = tokio::select! {
+        got = talk => got,
+        () = node.run_timers() => unreachable!("timers run for ever"),
+    };
+    assert!(got.starts_with("HTTP/1.1 502 "), "{got}");
+    assert!(at <= answer_by + Duration::from_millis(30), "{:?} late", at - answer_by);
+}
+
+/// Serves whole what a socket of another family brings, which has no such option as TCP's.
+#[tokio::test]
+async fn a_connection_that_takes_no_option_is_served() {
+    let (mut peer, stream) = driver::tests::optionless();
+    let slot = Arc::new(Semaphore::new(1)).acquire_owned().await.expect("a slot");
+    let (_phase, phases) = watch::channel(Phase::Serving);
+    let (node, _) = driver::tests::node(0);
+    let mut got = String::new();
+    let serve = async {
+        welcome(stream, &node, slot, &phases, || false);
+        peer.write_all(CHECK.as_bytes()).await.expect("the node still reads");
+        peer.read_to_string(&mut got).await.expect("an answer and the end");
+    };
+    tokio::task::LocalSet::new().run_until(serve).await;
+    assert!(got.starts_with("HTTP/1.1 503 "), "{got:?}");
+}
+
+const CALL: &str =
+    "POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: pay\r\nX-Budget-Ms: 1\r\nContent-Length: 0\r\n\r\n";
+const CHECK: &str = "GET /health/ready HTTP/1.1\r\nHost: n\r\n\r\n";
+
+const OWED: Duration = Duration::from_secs(3);
+
+/// Idle connections once kept all slots for half a minute, and no client was let in meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_connection_with_nothing_to_ask_is_closed_soon() {
+    let (got, took) = until_closed(false, &[CALL]).await;
+    assert!(got.starts_with("HTTP/1.1 503 "), "{got}");
+    assert!((Duration::from_secs(2)..OWED).contains(&took), "{took:?}");
+    let (got, took) = until_closed(false, &[]).await;
+    assert_eq!(got, "");
+    assert!((Duration::from_secs(2)..OWED).contains(&took), "{took:?}");
+}
+
+/// Each check comes on a connection of its own; in bursts they took all slots for as long as they stayed.
+#[tokio::test(start_paused = true)]
+async fn what_is_no_call_ends_its_connection() {
+    for (status, text) in
+        [("503", CHECK), ("404", "GET /other HTTP/1.1\r\n\r\n"), ("400", "POST /api HTTP/1.1\r\n\r\n")]
+    {
+        let (got, took) = until_closed(false, &[text]).await;
+        assert!(got.starts_with(&format!("HTTP/1.1 {status} ")), "{got}");
+        // The second is the peer's own, after its text.
+        assert!(took < Duration::from_millis(1100), "{took:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_request_that_does_not_arrive_whole_is_ended_soon() {
+    let head = "POST /api HTTP/1.1\r\nX-Call-Id: 1\r\nX-Call-Class: pay\r\nX-Budget-Ms: 900\r\n";
+    let (_, took) = until_closed(false, &["POST /api", " HTTP/1.1"]).await;
+    assert!(took < OWED, "{took:?}");
+    let (got, took) = until_closed(false, &[head, "Content-Length: 9\r\n\r\nhalf"]).await;
+    assert!(got.starts_with("HTTP/1.1 408 "), "{got}");
+    assert!(took < OWED, "{took:?}");
+}
+
+/// A burst of peers that ask nothing once kept clients waiting in the backlog past their time.
+#[tokio::test(start_paused = true)]
+async fn a_connection_without_a_request_makes_room_while_slots_are_scarce() {
+    let (got, took) = until_closed(true, &[]).await;
+    assert_eq!(got, "");
+    assert!(took < Duration::from_millis(500), "{took:?}");
+    let (got, took) = until_closed(true, &[CALL]).await;
+    assert!(got.starts_with("HTTP/1.1 503 "), "{got}");
+    assert!(took >= Duration::from_secs(2), "one that has asked may be a client: {took:?}");
+}
+
+/// The answer stays in the way of everything else, so nothing that the connection waits for ever comes.
+#[tokio::test(start_paused = true)]
+async fn a_client_that_does_not_read_is_let_go() {
+    let (mut peer, stream) = tokio::io::duplex(64);
+    let (_phase, phases) = watch::channel(Phase::Serving);
+    let (node, _) = driver::tests::node(0);
+    let talk = converse(stream, node, phases, || false);
+    let ask = async {
+        peer.write_all(CHECK.as_bytes()).await.expect("taken");
+        std::future::pending().await
+    };
+    tokio::select! {
+        biased;
+        result = talk => assert!(result.is_ok()),
+        () = ask => {}
+        () = sleep(Duration::from_secs(60)) => panic!("still held"),
+    }
+}
+
+/// Guards against answers that leave when the client's time is up and so come too late.
+#[test]
+fn the_ways_there_and_back_come_off_a_budget() {
+    assert_eq!(time_left(200, 500 * MS, 0), 196 * MS);
+    assert_eq!(time_left(200, 500 * MS, 10 * MS), 186 * MS);
+    assert_eq!(time_left(9000, 500 * MS, 0), 496 * MS);
+    assert_eq!(time_left(3, 500 * MS, 0), 0);
+    assert_eq!(time_left(u64::MAX, u64::MAX, u64::MAX), 0);
+}
