Send a keyed repeat only while it can still run inside its group's window

Read in src/choice.rs (permits): the window was compared with the moment of the decision; node/src/upstream.rs (attempt) then waited up to 200 ms for a connection and asked only whether the request and the server were still there. Not seen: the one request in a trace. The group is checked where the attempt is decided, and an attempt never changes its server.

Now the module says by when a repeat has to be on its way: the first copy's send and the window, less the time that an answer from that server should take, since it takes up a request after what it holds. Both drivers heed it: the node gives the attempt up then, and looks again before it writes.

--- a/model/src/shard/driver.rs
+++ b/model/src/shard/driver.rs
@@ -62,7 +62,12 @@
         for (node, action) in &actions {
             let node = *node as u32;
             match *action {
-                Action::Send { request, backend, timeout } => self.launch(node, request.0, backend, timeout),
+                Action::Send { request, backend, timeout, send_by } => {
+                    self.launch(node, request.0, backend, timeout);
+                    if let Some(send_by) = send_by {
+                        self.send_by(request.0, send_by);
+                    }
+                }
                 Action::Refuse { request, pause } => self.finish(request.0, Answer::Refused, pause),
                 Action::Fail { request } => self.finish(request.0, Answer::Failed, 0),
                 Action::Cancel { request, attempt } => {
@@ -156,6 +161,16 @@
         self.send(zone, now + way, What::Offered(Sent { instance, life, job, key }));
     }
 
+    /// The attempt that was just launched is given up unless it is on its way by then.
+    fn send_by(&mut self, id: u64, send_by: Nanos) {
+        let Some(open) = self.tries.get(id) else { return };
+        if let Some(attempt) = open.attempts.len().checked_sub(1)
+            && open.attempts[attempt].out
+        {
+            self.push(send_by.max(self.now), What::Waited { id, attempt: attempt as u32, connect: true });
+        }
+    }
+
     /// An idle connection to this process, if there is one; the youngest, so that those in excess grow old.
     pub(super) fn take_idle(&mut self, node: u32, instance: u32) -> Option<u64> {
         let now = self.now;
--- a/node/src/driver/exchange.rs
+++ b/node/src/driver/exchange.rs
@@ -65,6 +65,8 @@
     pub give_up: Nanos,
     /// When the client stops waiting.
     pub not_after: Nanos,
+    /// When to be on its way at the latest.
+    pub send_by: Nanos,
     /// Resolves once the attempt has been withdrawn.
     pub withdrawn: oneshot::Receiver<()>,
 }
--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -282,7 +282,9 @@
 
     fn act(&mut self, action: Action, errands: &mut Errands) {
         match action {
-            Action::Send { request, backend, timeout } => self.send(request, backend, timeout, errands),
+            Action::Send { request, backend, timeout, send_by } => {
+                self.send(request, backend, (timeout, send_by), errands);
+            }
             Action::Refuse { request, pause } => self.finish(request, Reply::Refused(pause)),
             Action::Fail { request } => self.finish(request, Reply::Failed),
             Action::Cancel { request, attempt } => self.requests.withdraw(request, attempt),
@@ -369,7 +371,7 @@
         &mut self,
         request: RequestId,
         backend: BackendId,
-        timeout: Option<Nanos>,
+        (timeout, send_by): (Option<Nanos>, Option<Nanos>),
         errands: &mut Errands,
     ) {
         let now = self.clock.now();
@@ -393,6 +395,7 @@
             call: begun.call,
             give_up: end.min(begun.not_after),
             not_after: begun.not_after,
+            send_by: send_by.unwrap_or(Nanos::MAX),
             withdrawn: begun.withdrawn,
         });
     }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -122,11 +122,17 @@
         let withdrawn = std::mem::replace(&mut launch.withdrawn, tokio::sync::oneshot::channel().1);
         // Never written, it never ran: a refusal is still open to the module then.
         let unless_written = |outcome| if written.get() { outcome } else { Outcome::Moot };
+        let over = async {
+            sleep_until(self.clock.instant(launch.give_up.min(launch.send_by))).await;
+            if written.get() {
+                sleep_until(self.clock.instant(launch.give_up)).await;
+            }
+        };
         tokio::select! {
             biased;
             _ = withdrawn => Ending::bare(unless_written(Outcome::Cancelled)),
             ending = self.attempt(node, &launch, &written, &connecting) => ending,
-            () = sleep_until(self.clock.instant(launch.give_up)) => Ending::bare(match connecting.get() {
+            () = over => Ending::bare(match connecting.get() {
                 Some(since) if self.is_silent(since) => Outcome::ConnectFailed,
                 _ => unless_written(Outcome::TimedOut),
             }),
@@ -173,7 +179,7 @@
                 continue;
             }
             // The connect may have outlasted the request, or the backend's place on the list.
-            if !node.may_write(launch.ticket) {
+            if !node.may_write(launch.ticket) || self.clock.now() >= launch.send_by {
                 self.keep(node, place, link);
                 return Ending::bare(Outcome::Moot);
             }
--- a/rig/src/wire.rs
+++ b/rig/src/wire.rs
@@ -133,6 +133,7 @@
                     request: request()?,
                     backend: BackendId(number(fields, "backend", "b_")? as u32),
                     timeout: Some(whole("max-wait-ns")).filter(|wait| *wait > 0),
+                    send_by: None,
                 },
                 "DECLINE" => Action::Refuse { request: request()?, pause: whole("pause-ns") },
                 "END_FAILED" => Action::Fail { request: request()? },
--- a/src/api.rs
+++ b/src/api.rs
@@ -436,6 +436,11 @@
         backend: BackendId,
         /// Its time-out; `None` until the client gives up.
         timeout: Option<Nanos>,
+        /// When it has to be on its way at the latest, as [`Balancer::handle`] counts time: a repeat that is sent
+        /// later may run again. `None` for one that may be sent at any time.
+        ///
+        /// [`Balancer::handle`]: crate::Balancer::handle
+        send_by: Option<Nanos>,
     },
     /// Final answer: refused, trying again does no harm.
     Refuse {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -283,13 +283,13 @@
         let repeat_dropped = match (class.effect, ran) {
             (Effect::Repeatable, _) | (_, None) => true,
             (Effect::Once, Some(_)) => false,
-            (Effect::Keyed { group, window }, Some(first)) => {
+            (Effect::Keyed { group, .. }, Some(first)) => {
                 let same = match group {
                     Group::All => true,
                     Group::Zone => first.zone == backend.member.zone,
                     Group::Cell => first.cell == backend.member.cell,
                 };
-                same && self.now + self.settings.quantum < first.sent.saturating_add(window)
+                same && self.repeat_by(request, backend).is_some_and(|end| self.now < end)
             }
         };
         // A wanted margin to the drain grace: nothing is sent once told.
@@ -297,12 +297,23 @@
         live && attempts_left && alone && repeat_dropped && in_service && self.cold_budget(backend, request)
     }
 
+    /// When a repeat has to be on its way, for its group still to know the first copy when it runs: a server
+    /// takes it up after what it holds, within the time of an answer from there. `None` without a first copy.
+    fn repeat_by(&self, request: &Request, backend: &Backend) -> Option<Nanos> {
+        let Effect::Keyed { window, .. } = self.settings.classes[request.class].effect else { return None };
+        let first = request.attempts.iter().find(|attempt| attempt.may_have_run())?;
+        let slowness = backend.slowness(self.now, &self.settings.rules);
+        let delay = slowness * backend.load(self.crowd()) * self.classes[request.class].base;
+        Some(first.sent.saturating_add(window).saturating_sub(delay as Nanos + self.settings.quantum))
+    }
+
     /// The one place that sends. False where the gate forbids it.
     fn send(&mut self, id: RequestId, to: BackendId, actions: &mut Vec<Action>) -> bool {
         let (crowd, gate) = (self.crowd(), self.requests.get(&id).zip(self.backends.get(&to)));
         if !gate.is_some_and(|(request, backend)| self.permits(request, backend)) {
             return false;
         }
+        let send_by = gate.and_then(|(request, backend)| self.repeat_by(request, backend));
         let (Some(request), Some(backend)) = (self.requests.get_mut(&id), self.backends.get_mut(&to)) else {
             return false;
         };
@@ -331,7 +342,7 @@
             self.many() && (late_share == 0.0 || (late_share <= 0.5 && self.classes[class].admit < 1.0));
         let late = (drop_late && aim_end > self.now).then(|| aim_end - self.now);
         let timeout = late.or_else(|| self.patience(class, to, aim_end));
-        actions.push(Action::Send { request: id, backend: to, timeout });
+        actions.push(Action::Send { request: id, backend: to, timeout, send_by });
         self.count_own(zone, 1.0);
         true
     }
--- a/tests/contract.rs
+++ b/tests/contract.rs
@@ -209,3 +209,27 @@
     // that is room for 1.07 s of work, 18 pairs counted as 20 and 39 ms.
     assert!((1..=40).contains(&taken), "{taken} to the cold backend");
 }
+
+/// What counts is when a repeat can run: a server takes it up after what it holds, and a connection may be late.
+#[test]
+fn a_repeat_is_sent_in_time_to_run_while_its_group_knows_the_first_copy() {
+    let by = |actions: &[Action]| {
+        actions.iter().find_map(|action| match action {
+            Action::Send { send_by, .. } => Some(*send_by),
+            _ => None,
+        })
+    };
+    let mut node = Node::new(settings(keyed(Group::Zone)), three_zones());
+    let (request, actions) = node.ask(SECOND);
+    assert_eq!(by(&actions), Some(None), "nothing is repeated yet");
+    let sent_at = node.now;
+    node.now += 50 * MS;
+    let again = by(&node.settle(request, 0, Outcome::Reset, Report::default())).expect("a repeat");
+    let end = again.expect("a limit");
+    assert!(node.now < end && end + 30 * MS < sent_at + 200 * MS, "{}", (end - sent_at) / MS);
+    // What would be sent inside the window and run past it is not sent.
+    let mut node = Node::new(settings(keyed(Group::Zone)), three_zones());
+    let (request, _) = node.ask(SECOND);
+    node.now += 190 * MS;
+    assert!(failed(&node.settle(request, 0, Outcome::Reset, Report::default())));
+}
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -108,7 +108,8 @@
             |instance: &Instance, id| instance.held.get(&id).map_or(String::new(), |held| held.name.clone());
         let backend = |instance: &Instance, id: BackendId| instance.backend_names[id.0 as usize].clone();
         let (tag, body) = match action {
-            Action::Send { request, backend: to, timeout } => {
+            // The simulator sends in the very turn.
+            Action::Send { request, backend: to, timeout, send_by: _ } => {
                 instance.update(request, |held| held.out += 1);
                 let body = json!({"who": who, "request-id": name(instance, request),
                     "backend": backend(instance, to), "max-wait-ns": timeout.unwrap_or(0)});
