Keep the first watch after a failed call short, and ask no agent without end

Three crossings of the list's calls, read in node/src/discovery/asker.rs, which is poller.rs now (poller and timeouts are the usual words). After a failed call a change counts 6 s after it was there, whatever wait is granted; yet one good answer made the next watch of a service wait for 20 s again, and one that fell silent then held the change up to 21.5 s (ASKED, trusts). An agent that ends its connection with each answer was asked without a wait and without a pause, for ever: each new connection was doubted (doubts). A version below ours, from a discovery that had begun anew, was kept, and changes were taken into a list that the node did not have (answered).

Now the first watch after a failure waits for 3.5 s, until one has been answered; a new connection is doubted only if the last answer is not of just now; after a version that goes back the whole list is asked for.

--- a/node/src/discovery/mod.rs
+++ b/node/src/discovery/mod.rs
@@ -1,7 +1,7 @@
 //! The list of backends: one watch on discovery, renewed at once and for ever. When what is asked is decided in
-//! [`Asker`]; here are its sockets and its clock.
+//! [`Poller`]; here are its sockets and its clock.
 
-mod asker;
+mod poller;
 
 use std::net::SocketAddr;
 
@@ -20,7 +20,7 @@
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::driver::{Listed, Node};
-use asker::{Asker, Patience};
+use poller::{Poller, Timeouts};
 
 /// A list of thousands of backends fits.
 pub const MAX_LIST: usize = 4 * 1024 * 1024;
@@ -143,7 +143,7 @@
     node: Node,
     /// Where discovery is, which a new configuration may change.
     at: watch::Receiver<SocketAddr>,
-    asker: Asker,
+    poller: Poller,
     calls: JoinSet<(u64, Called)>,
     /// The connection that brought the last list.
     kept: Option<Link>,
@@ -153,12 +153,12 @@
 impl Watch {
     /// A watch at `at` that goes on from `known`, which may be old.
     pub fn new(node: Node, at: watch::Receiver<SocketAddr>, known: Option<List>) -> Self {
-        let patience = if node.asks_discovery() { Patience::ASKED } else { Patience::PUSHED };
-        let asker = Asker::new(patience, known.as_ref().map(|list| list.rev));
+        let timeouts = if node.asks_discovery() { Timeouts::ASKED } else { Timeouts::PUSHED };
+        let poller = Poller::new(timeouts, known.as_ref().map(|list| list.rev));
         if let Some(list) = known {
             node.fleet(ListScope::Cached, list.listed());
         }
-        Self { node, at, asker, calls: JoinSet::new(), kept: None, began: Instant::now() }
+        Self { node, at, poller, calls: JoinSet::new(), kept: None, began: Instant::now() }
     }
 
     /// Watches; never ends.
@@ -166,22 +166,22 @@
         let mut moves = self.at.clone();
         loop {
             self.call();
-            let due = self.asker.due().map(|due| self.began + due);
+            let due = self.poller.due().map(|due| self.began + due);
             tokio::select! {
                 biased;
                 () = moved(&mut moves) => {
                     self.drop_calls();
                     self.kept = None;
-                    self.asker.moved(self.began.elapsed());
+                    self.poller.moved(self.began.elapsed());
                 }
                 Some(ended) = self.calls.join_next() => match ended {
-                    Ok((_, Ok((list, link)))) => self.take(list, link),
+                    Ok((call, Ok((list, link)))) => self.take(call, list, link),
                     Ok((call, Err(error))) => self.missed(call, &error),
                     // None panics, and those that are dropped are not waited for.
                     Err(_) => {}
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
-                () = self.node.discovery_wanted() => self.asker.wanted(self.began.elapsed()),
+                () = self.node.discovery_wanted() => self.poller.wanted(self.began.elapsed()),
             }
         }
     }
@@ -189,11 +189,11 @@
     /// Makes the call that is due, if one is.
     fn call(&mut self) {
         let now = self.began.elapsed();
-        if self.asker.due().is_none_or(|due| due > now) {
+        if self.poller.due().is_none_or(|due| due > now) {
             return;
         }
         let link = self.kept.take().filter(|link| !link.is_closed());
-        let Some(ask) = self.asker.call(now, self.node.take_whole_list(), link.is_some()) else { return };
+        let Some(ask) = self.poller.call(now, self.node.take_whole_list(), link.is_some()) else { return };
         let target = match ask.from {
             Some(rev) => format!("{PATH}?from={rev}&hold_ms={}", ask.hold.as_millis()),
             None => PATH.to_owned(),
@@ -205,10 +205,13 @@
         });
     }
 
-    fn take(&mut self, list: List, link: Link) {
+    fn take(&mut self, call: u64, list: List, link: Link) {
         self.drop_calls();
         self.kept = Some(link);
-        self.asker.answered(self.began.elapsed(), list.rev);
+        if !self.poller.answered(self.began.elapsed(), call, list.rev, list.all) {
+            tracing::warn!(rev = list.rev, "the list's version has gone back");
+            return;
+        }
         let scope = if list.all { ListScope::Full } else { ListScope::Changes };
         if list.all || !list.targets.is_empty() {
             self.node.fleet(scope, list.listed());
@@ -217,7 +220,7 @@
 
     fn missed(&mut self, call: u64, error: &CallError) {
         tracing::warn!(cause = %error, "{}", error.kind());
-        self.asker.failed(self.began.elapsed(), call);
+        self.poller.failed(self.began.elapsed(), call);
         self.node.fleet_failed();
     }
 
--- a/node/src/discovery/asker.rs
+++ b/node/src/discovery/poller.rs
@@ -1,10 +1,11 @@
-//! When the list is asked for, and how long an answer is waited for: the discovery's patience as a state machine. Time
-//! is an argument; the sockets are the driver's.
+//! When the list is asked for, and how long an answer is waited for, as a state machine. Time is an argument; the
+//! sockets are the driver's.
 //!
 //! One clock decides what counts as told, whoever tells the list: a call that stays silent is broken, and what it
-//! missed counts 6 s after it fell silent, or 2 s after the wait that it was granted, whichever is later. An agent's
-//! word counts sooner: what it has is told at once, also right after it was away. So a call that is overdue is not
-//! waited out: another one goes out beside it, as long as calls cost nobody anything.
+//! missed counts 6 s after it fell silent, or 2 s after the wait that it was granted, whichever is later. After a call
+//! that failed it counts 6 s after it was there to be told, whatever wait the next call is granted. An agent's word
+//! counts sooner: what it has is told at once, also right after it was away. So a call that is overdue is not waited
+//! out: another one goes out beside it.
 
 use std::time::Duration;
 
@@ -12,11 +13,11 @@
     Duration::from_millis(ms)
 }
 
-/// How patient the node is with whoever tells it the list.
+/// How long whoever tells the list is waited for.
 #[derive(Clone, Copy, Debug)]
-pub struct Patience {
-    /// How long a watch may wait for news.
-    pub hold: Duration,
+pub struct Timeouts {
+    /// How long a watch may wait for news, and the first one after a failure.
+    pub hold: (Duration, Duration),
     /// A watch is given up so long after its wait.
     pub grace: Duration,
     /// A call that does not wait is given up after this: at first, and, doubled with each failure, at most.
@@ -29,12 +30,12 @@
     pub again: (Duration, Duration),
 }
 
-impl Patience {
+impl Timeouts {
     /// With an agent on the node's own machine, where a call costs nothing. A watch of 2 s that falls silent is overdue
     /// 3.75 s before what it missed counts as told. When the agent comes back, a call goes out within the 500 ms that a
     /// drain leaves, whether it had refused the calls before, swallowed them or keeps them for later.
     pub const PUSHED: Self = Self {
-        hold: ms(2000),
+        hold: (ms(2000), ms(2000)),
         grace: ms(500),
         answer: (ms(1000), ms(1000)),
         overdue: ms(250),
@@ -43,9 +44,11 @@
     };
     /// With one service that all nodes ask: watches are long and calls alone. A watch of 20 s is given up 1.5 s before
     /// what it missed counts as told, and the longest call and the longest pause together fit into the 6 s of a poll.
-    /// The module names the pause; the one here is for want of that.
+    /// After a failure what is missed counts 6 s after it was there, whatever wait was granted: the first watch then is
+    /// so short that a call and the next one fit in behind it. The module names the pause; the one here is for want of
+    /// that.
     pub const ASKED: Self = Self {
-        hold: ms(20_000),
+        hold: (ms(20_000), ms(3500)),
         grace: ms(500),
         answer: (ms(1000), ms(2000)),
         overdue: ms(500),
@@ -69,67 +72,82 @@
 
 /// What is asked, and when. A time counts from whenever its owner began.
 #[derive(Clone, Debug)]
-pub struct Asker {
-    patience: Patience,
+pub struct Poller {
+    timeouts: Timeouts,
     rev: Option<u64>,
-    /// The calls that are out, at most [`Patience::most`].
-    out: Vec<u64>,
+    /// The calls that are out, at most [`Timeouts::most`], and whether each is a watch.
+    out: Vec<(u64, bool)>,
     next: u64,
     due: Option<Duration>,
     failures: u32,
-    /// Whether a call is overdue, or its connection has yet to come up.
-    doubts: bool,
+    /// Whether a call has failed since a watch was last answered.
+    wary: bool,
+    /// Whether the last answer told what is known now, and not what a wait had brought.
+    current: bool,
 }
 
-impl Asker {
+impl Poller {
     /// Goes on from this version, at once.
-    pub fn new(patience: Patience, rev: Option<u64>) -> Self {
+    pub fn new(timeouts: Timeouts, rev: Option<u64>) -> Self {
         Self {
-            patience,
+            timeouts,
             rev,
             out: Vec::new(),
             next: 0,
             due: Some(Duration::ZERO),
             failures: 0,
-            doubts: false,
+            wary: false,
+            current: false,
         }
     }
 
     /// When the next call is due; none while one is waited for.
     pub fn due(&self) -> Option<Duration> {
-        self.due.filter(|_| self.out.len() < self.patience.most)
+        self.due.filter(|_| self.out.len() < self.timeouts.most)
     }
 
     /// The call that is due, if one is. `linked` says whether the connection that brought the last list still stands.
     pub fn call(&mut self, now: Duration, whole: bool, linked: bool) -> Option<Ask> {
         self.due().filter(|due| *due <= now)?;
         let from = self.rev.filter(|_| !whole);
-        // A new connection may be long in coming up, and an agent's word counts meanwhile.
-        self.doubts |= !self.out.is_empty() || (self.patience.most > 1 && !linked);
+        let Timeouts { hold, grace, answer, overdue, most, .. } = self.timeouts;
+        // A new connection may be long in coming up, and an agent's word counts meanwhile. One that ends with each
+        // answer is no reason to ask without end.
+        let unsure = most > 1 && !linked && !self.current;
         // Whoever doubts wants an answer, not news.
-        let trusts = self.failures == 0 && !self.doubts;
-        let hold = if from.is_some() && trusts { self.patience.hold } else { Duration::ZERO };
-        let Patience { grace, answer, overdue, most, .. } = self.patience;
+        let trusts = from.is_some() && self.failures == 0 && self.out.is_empty() && !unsure;
+        let hold = match (trusts, self.wary) {
+            (false, _) => Duration::ZERO,
+            (true, false) => hold.0,
+            (true, true) => hold.1,
+        };
+        let waits = hold > Duration::ZERO;
         let call = self.next;
         self.next += 1;
-        self.out.push(call);
+        self.out.push((call, waits));
         self.due = (most > 1).then(|| now + hold + overdue);
-        let limit = if hold > Duration::ZERO { hold + grace } else { doubled(answer, self.failures) };
+        let limit = if waits { hold + grace } else { doubled(answer, self.failures) };
         Some(Ask { call, from, hold, limit })
     }
 
-    /// A call has brought this version. All others are to be dropped: they ask for what is known now.
-    pub fn answered(&mut self, now: Duration, rev: u64) {
-        self.rev = Some(rev);
+    /// A call has brought this version, of the whole list or of changes. All others are to be dropped: they ask for what
+    /// is known now. Whether the list can be taken: changes up to a version before ours are of a list that began anew.
+    pub fn answered(&mut self, now: Duration, call: u64, rev: u64, whole: bool) -> bool {
+        let watch = self.out.contains(&(call, true));
+        let taken = whole || self.rev.is_none_or(|known| known <= rev);
+        self.rev = taken.then_some(rev);
         self.out.clear();
-        (self.failures, self.doubts, self.due) = (0, false, Some(now));
+        self.wary &= !watch;
+        (self.failures, self.due, self.current) = (0, Some(now), !watch);
+        taken
     }
 
     /// A call has brought nothing.
     pub fn failed(&mut self, now: Duration, call: u64) {
-        self.out.retain(|out| *out != call);
-        let at = now + doubled(self.patience.again, self.failures);
+        self.out.retain(|out| out.0 != call);
+        let at = now + doubled(self.timeouts.again, self.failures);
         self.failures = self.failures.saturating_add(1);
+        (self.wary, self.current) = (true, false);
         self.due = Some(self.due.map_or(at, |due| due.min(at)));
     }
 
@@ -143,7 +161,7 @@
     /// Whoever tells the list is at another address now, where versions may be others: the whole list comes first.
     /// Calls that are out are to be dropped.
     pub fn moved(&mut self, now: Duration) {
-        *self = Self { due: Some(now), next: self.next, ..Self::new(self.patience, None) };
+        *self = Self { due: Some(now), next: self.next, ..Self::new(self.timeouts, None) };
     }
 }
 
