Part the clients' side by listener, connection and request

node/src/server.rs held 510 lines of three concerns. The same lines are in server/mod.rs (the listener), connection.rs (one connection) and call.rs (one request) now; nothing else is changed, and the tests are the same ones.

--- /dev/null
+++ b/node/src/server/mod.rs
@@ -0,0 +1,131 @@
+//! The clients' side: takes connections, reads requests, waits for each one's final answer and writes it.
+//!
+//! This file holds the listener's part. Beside it: `connection`, one connection up to its close; `call`, one request.
+
+mod call;
+mod connection;
+#[cfg(test)]
+mod tests;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+use crate::driver::Node;
+use crate::upstream::without_delay;
+
+/// So long after the last connection has ended another one may have been opened while the node drains.
+const LAST_ONES: Duration = Duration::from_millis(100);
+/// Wait before the next accept after one failed: out of descriptors, the next would fail at once.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(20);
+/// Slots are scarce once no more than one in this many is free.
+const SCARCE: usize = 8;
+
+/// How far the node is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// In service.
+    Serving,
+    /// Takes all that comes; each answer ends its connection.
+    Stopping,
+    /// Closes connections on which nothing is going on. What still comes is taken all the same: whoever has a
+    /// connection goes on using it.
+    Closing {
+        /// What comes from now on is answered by then: the process may be killed.
+        answer_by: Instant,
+    },
+}
+
+impl Phase {
+    fn is_closing(&self) -> bool {
+        matches!(self, Self::Closing { .. })
+    }
+}
+
+/// How many connections are open.
+#[derive(Default)]
+struct Open {
+    count: Cell<usize>,
+    fewer: Notify,
+}
+
+/// Counts a connection for as long as it is open.
+struct Counted(Rc<Open>);
+
+impl Counted {
+    fn new(open: &Rc<Open>) -> Self {
+        open.count.set(open.count.get() + 1);
+        Self(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.count.set(self.0.count.get().saturating_sub(1));
+        self.0.fewer.notify_one();
+    }
+}
+
+/// Serves until the phase is [`Phase::Closing`] and all connections have ended. At most `most` are open.
+pub async fn run(listener: TcpListener, node: Node, most: usize, phase: watch::Receiver<Phase>) {
+    let slots = Arc::new(Semaphore::new(most));
+    let open = Rc::new(Open::default());
+    let scarce = most / SCARCE;
+    let accepting = async {
+        loop {
+            let Ok(slot) = slots.clone().acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let slots = slots.clone();
+                    let scarcity = move || slots.available_permits() <= scarce;
+                    welcome(stream, &node, (slot, Counted::new(&open)), &phase, scarcity);
+                }
+                Err(error) => {
+                    tracing::warn!(cause = %error, "accept failed");
+                    sleep(ACCEPT_AGAIN).await;
+                }
+            }
+        }
+    };
+    let mut phases = phase.clone();
+    let all_ended = async {
+        let _ = phases.wait_for(Phase::is_closing).await;
+        loop {
+            // Whoever comes as the last one leaves is in the backlog by then.
+            sleep(LAST_ONES).await;
+            if open.count.get() == 0 {
+                return;
+            }
+            open.fewer.notified().await;
+        }
+    };
+    // The accept is polled first: what waits in the backlog is taken before the listener goes.
+    tokio::select! {
+        biased;
+        () = accepting => {}
+        () = all_ended => {}
+    }
+}
+
+fn welcome<Held: 'static>(
+    stream: TcpStream,
+    node: &Node,
+    held: Held,
+    phase: &watch::Receiver<Phase>,
+    scarcity: impl Fn() -> bool + 'static,
+) {
+    let (node, phase) = (node.clone(), phase.clone());
+    spawn_local(async move {
+        let _held = held;
+        without_delay(&stream);
+        if let Err(error) = connection::converse(stream, node, phase, scarcity).await {
+            tracing::debug!(cause = %error, "a client's connection broke");
+        }
+    });
+}
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -1,9 +1,11 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
+use super::call::time_left;
+use super::connection::converse;
 use super::*;
 use crate::driver;
 use crate::driver::tests::{SECOND, listed};
-use brookfield::{ListScope, Stage};
+use brookfield::{ListScope, Nanos, Stage};
 
 const MS: Nanos = 1_000_000;
 
