Hear what has come before an attempt is written

Read in node/src/upstream.rs (attempt): between the turn in which a request was read and the one in which its attempt is written nobody looked at the sockets. Each of three things may have come by then: the client's end, so that a request was sent on for a client that had gone; the close of the pooled connection, so that the request may have run; and a second answer to the request before, which was then taken for the answer to this one.

Now the attempt gives way to the event loop once before it looks at the connection and at the request. Three tests put the crossing into the very moment of the launch, over real sockets; without that line each of them fails.

--- a/node/src/driver/tests.rs
+++ b/node/src/driver/tests.rs
@@ -31,6 +31,12 @@
 }
 
 fn node_with(drain_grace: Nanos, discovery: &str) -> (Node, Rc<Kept>) {
+    let kept = Rc::new(Kept::default());
+    (node_over(drain_grace, discovery, kept.clone()), kept)
+}
+
+/// A node whose attempts go wherever this takes them.
+pub fn node_over(drain_grace: Nanos, discovery: &str, launcher: Rc<dyn Launcher>) -> Node {
     let config = serde_json::json!({"az": "a", "zones": ["a"], "discovery": discovery,
         "classes": [{"name": "pay", "effect": "once", "on-time-ns": 2_000_000_000u64,
             "deadline-ns": 4_000_000_000u64}],
@@ -38,9 +44,29 @@
         "rules": {"answer-slack-ns": 20_000_000, "drain-grace-ns": drain_grace, "fall-ns": 1_500_000_000u64,
             "start-capacity": 0.1, "tip-multiple": 2.5, "warm-after-ns": 20_000_000_000u64}});
     let site = brookfield_settings::read(&config).expect("settings");
-    let kept = Rc::new(Kept::default());
-    let node = Node::new(site.settings, site.words, 7, Clock::start(), kept.clone()).expect("a node");
-    (node, kept)
+    Node::new(site.settings, site.words, 7, Clock::start(), launcher).expect("a node")
+}
+
+/// Something that happens in the very moment in which an attempt is launched, before anything else can.
+type Crossing = Box<dyn FnOnce()>;
+
+/// Attempts over real connections, with a crossing.
+pub struct Crossed {
+    pub upstream: crate::upstream::Upstream,
+    pub crossing: RefCell<Option<Crossing>>,
+}
+
+impl Launcher for Crossed {
+    fn launch(&self, node: &Node, launch: Launch) {
+        if let Some(crossing) = self.crossing.take() {
+            crossing();
+        }
+        self.upstream.launch(node, launch);
+    }
+
+    fn retire(&self, backend: BackendId) {
+        self.upstream.retire(backend);
+    }
 }
 
 pub fn listed(uid: &str, stage: Stage) -> Listed {
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -209,3 +209,62 @@
     assert_eq!(time_left(3, 500 * MS, 0), 0);
     assert_eq!(time_left(u64::MAX, u64::MAX, u64::MAX), 0);
 }
+
+fn with_budget(text: &str, ms: u64) -> String {
+    text.replace("X-Budget-Ms: 1\r", &format!("X-Budget-Ms: {ms}\r"))
+}
+
+/// The end came after its request had been read and before the attempt was written, in one and the same turn.
+#[tokio::test]
+async fn nothing_is_written_for_a_client_that_leaves_as_its_attempt_is_launched() {
+    use std::io::{Read, Write};
+    let backend = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let endpoint = backend.local_addr().expect("its address");
+    let links = brookfield_settings::Links { idle: 60 * SECOND, connect_timeout: SECOND };
+    let upstream = crate::upstream::Upstream::new(links, driver::Clock::start(), 8);
+    let crossed = Rc::new(driver::tests::Crossed { upstream, crossing: Default::default() });
+    let node = driver::tests::node_over(SECOND, "pushed", crossed.clone());
+    node.fleet(ListScope::Full, vec![driver::Listed { endpoint, ..listed("s", Stage::InService) }]);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let at = listener.local_addr().expect("its address");
+    let (_phase, phases) = watch::channel(Phase::Serving);
+    let got = Rc::new(std::cell::RefCell::new(String::new()));
+    let work = async {
+        spawn_local(run(listener, node.clone(), 8, phases));
+        let seen = got.clone();
+        spawn_local(async move {
+            let (mut stream, _) = backend.accept().await.expect("a connection");
+            let mut chunk = [0; 4096];
+            while let Ok(count @ 1..) = stream.read(&mut chunk).await {
+                seen.borrow_mut().push_str(&String::from_utf8_lossy(&chunk[..count]));
+                stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").await.expect("taken");
+            }
+        });
+        for (id, stays) in [("warm", true), ("gone", false), ("last", true)] {
+            let mut client = std::net::TcpStream::connect(at).expect("a connection");
+            let text = with_budget(CALL, 3000).replace("Call-Id: 1", &format!("Call-Id: {id}"));
+            client.write_all(text.as_bytes()).expect("taken");
+            if stays {
+                client.set_nonblocking(true).expect("not blocking");
+                let mut client = TcpStream::from_std(client).expect("in the runtime");
+                let mut answer = [0; 12];
+                client.read_exact(&mut answer).await.expect("an answer");
+                assert_eq!(&answer, b"HTTP/1.1 200", "{id}");
+                continue;
+            }
+            let (left, leaves) = std::sync::mpsc::channel::<()>();
+            crossed.crossing.replace(Some(Box::new(move || {
+                client.set_nonblocking(true).expect("not blocking");
+                assert!(client.read(&mut [0]).is_err(), "no answer yet");
+                drop((client, left));
+            })));
+            // The sender goes with the client.
+            while leaves.try_recv() == Err(std::sync::mpsc::TryRecvError::Empty) {
+                tokio::task::yield_now().await;
+            }
+        }
+    };
+    tokio::task::LocalSet::new().run_until(work).await;
+    let got = got.borrow();
+    assert!(got.contains("warm") && got.contains("last") && !got.contains("gone"), "{got}");
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -18,7 +18,7 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::driver::{Clock, Ending, Launch, Launcher, Node};
@@ -171,6 +171,9 @@
                     }
                 },
             };
+            // What has come meanwhile is heard first: that the client has gone, that the backend has closed this
+            // connection or sent something more on it.
+            yield_now().await;
             // A pooled connection found dead before anything was written to it costs nothing: the next one.
             if link.ready().await.is_err() {
                 if fresh {
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -5,8 +5,8 @@
 use tokio::net::TcpSocket;
 
 use super::*;
-use crate::driver::Listed;
-use crate::driver::tests::{SECOND, asked, listed, node};
+use crate::driver::tests::{Crossed, SECOND, asked, listed, node, node_over};
+use crate::driver::{Listed, Reply};
 
 /// The node's own want of descriptors once counted against the backends, and ejected good ones.
 #[tokio::test]
@@ -106,3 +106,70 @@
     // The system asks again after a second: nobody waits for that.
     assert!(took < SECOND * 9 / 10, "{took}");
 }
+
+/// A backend that answers each request, and hands out the connections that it has accepted.
+fn answering(body: &'static str) -> (SocketAddr, std::sync::mpsc::Receiver<std::net::TcpStream>) {
+    use std::io::{BufRead, BufReader, Write};
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+    let at = listener.local_addr().expect("its address");
+    let (accepted, connections) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let Ok(copy) = stream.try_clone() else { return };
+            if accepted.send(copy).is_err() {
+                return;
+            }
+            std::thread::spawn(move || {
+                let Ok(mut writer) = stream.try_clone() else { return };
+                for line in BufReader::new(stream).lines() {
+                    let Ok(line) = line else { return };
+                    if line.is_empty() {
+                        let answer =
+                            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+                        let _ = writer.write_all(answer.as_bytes());
+                    }
+                }
+            });
+        }
+    });
+    (at, connections)
+}
+
+/// Two requests to one backend, the second over the connection that the first has left, if it still is any good. The
+/// crossing happens to that connection as the second is launched.
+async fn second_answer(crossing: impl FnOnce(std::net::TcpStream) + 'static) -> Reply {
+    let (endpoint, connections) = answering("right");
+    let links = Links { idle: 60 * SECOND, connect_timeout: SECOND };
+    let upstream = Upstream::new(links, Clock::start(), 8);
+    let crossed = Rc::new(Crossed { upstream, crossing: RefCell::default() });
+    let node = node_over(SECOND, "pushed", crossed.clone());
+    node.fleet(ListScope::Full, vec![Listed { endpoint, ..listed("s", Stage::InService) }]);
+    let work = async {
+        let first = node.submit(asked(60 * SECOND)).answer().await;
+        assert!(matches!(first, Reply::Served(body) if body == "right"));
+        let connection = connections.recv().expect("a connection");
+        crossed.crossing.replace(Some(Box::new(move || crossing(connection))));
+        node.submit(asked(60 * SECOND)).answer().await
+    };
+    tokio::task::LocalSet::new().run_until(work).await
+}
+
+/// An answer that came twice, the second time as the next request was about to be written, was taken for the answer to
+/// that one.
+#[tokio::test]
+async fn a_second_answer_that_has_come_is_no_answer_to_the_next_request() {
+    let reply = second_answer(|mut connection| {
+        let stale = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+        std::io::Write::write_all(&mut connection, stale).expect("written");
+    });
+    assert!(matches!(reply.await, Reply::Served(body) if body == "right"));
+}
+
+/// A request written to a connection that its backend has closed may have run, for all that the node can know.
+#[tokio::test]
+async fn a_connection_that_has_just_been_closed_is_not_written_to() {
+    let reply = second_answer(|connection| {
+        connection.shutdown(std::net::Shutdown::Both).expect("closed");
+    });
+    assert!(matches!(reply.await, Reply::Served(body) if body == "right"));
+}
