Hear a client's end before its request is handed to the module

Seen in a system-call trace of it: the first read of a connection is tried before the event loop has been asked, brings the request, and takes the socket for empty; the end is told by the next turn only. So the request was submitted, and its attempt begun but for the look before its write.

Now the request gives way to the event loop once before it is submitted (server/call.rs, call). The test queues three clients that leave and one that stays: one attempt. Two debug lines tell why a connection ends and what is bad in a request.

--- a/node/src/server/call.rs
+++ b/node/src/server/call.rs
@@ -9,6 +9,7 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 use super::Phase;
@@ -79,7 +80,10 @@
                 client = true;
                 answer
             }
-            Err(bad) => plain(bad.status(), &bad.to_string()),
+            Err(bad) => {
+                tracing::debug!(cause = %bad, "a bad request");
+                plain(bad.status(), &bad.to_string())
+            }
         },
         "/health/ready" if request.method() != Method::GET => {
             plain(StatusCode::METHOD_NOT_ALLOWED, "GET only")
@@ -134,6 +138,9 @@
     if effect == Effect::Repeatable && !body.is_empty() {
         return Err(BadCall::Misplaced("a body"));
     }
+    // The first read of a connection does not tell whether its end is there already: what has come by now is heard
+    // before anything is done for a client that may have gone.
+    yield_now().await;
     let spent: Nanos = node.clock().now().saturating_sub(came);
     let budget = time_left(budget, deadline, spent);
     let stays = answer_by.map(|at| at.saturating_duration_since(Instant::now()).as_nanos() as Nanos);
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -45,6 +45,7 @@
 }
 
 /// Why a connection is not supervised any longer.
+#[derive(Debug)]
 enum End {
     /// The parser has ended it: by its answer, or since the peer had.
     Parser,
@@ -118,6 +119,8 @@
             draining = true;
             Pin::new(&mut connection).graceful_shutdown();
         };
+        let (begun, open_ms) = (stream.begun().is_some(), accepted.elapsed().as_millis() as u64);
+        tracing::debug!(cause = ?end, begun, open_ms, "a client's connection ends");
         match end {
             End::Parser | End::Overdue => break,
             // Whoever waits for the answer is dropped with the parser: that tells the module.
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -309,6 +309,39 @@
     assert!(got.contains("warm") && got.contains("last") && !got.contains("gone"), "{got}");
 }
 
+/// What lay in the accept queue, whole and with its end behind it, is nobody's any more.
+#[tokio::test]
+async fn nothing_is_sent_on_for_a_client_that_left_while_it_was_queued() {
+    use std::io::Write;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let at = listener.local_addr().expect("its address");
+    let (node, kept) = driver::tests::node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let (_phase, phases) = watch::channel(Phase::Serving);
+    let ask = |id: &str| {
+        let mut client = std::net::TcpStream::connect(at).expect("a connection");
+        let text = with_budget(CALL, 3000).replace("Call-Id: 1", &format!("Call-Id: {id}"));
+        client.write_all(text.as_bytes()).expect("taken");
+        client
+    };
+    for id in ["a", "b", "c"] {
+        drop(ask(id));
+    }
+    let last = ask("d");
+    let work = async {
+        spawn_local(run(listener, node.clone(), 8, phases));
+        // Connections are taken in the order in which they came.
+        while kept.launches.borrow().is_empty() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::task::LocalSet::new().run_until(work).await;
+    let launches = kept.launches.borrow();
+    assert_eq!(launches[0].call.headers["x-call-id"], "d");
+    assert_eq!(launches.len(), 1);
+    drop(last);
+}
+
 /// A graceful shutdown dropped what lay in the parser unseen: the next request had come with the last one.
 #[tokio::test(start_paused = true)]
 async fn what_came_together_with_an_answered_request_is_taken_while_the_node_closes() {
