Let a connection settle for 10 ms after an answer before it is used again

A connection went back to the pool with its answer (node/src/upstream.rs, keep and take, the one used last first); a request written to it before the second answer came got that one for its own.

Now a connection is used again 10 ms after its answer at the earliest; where no other is idle the request waits for that, and no new one is opened. The test holds the second answer back until the request would have been written, on a paused clock; it fails without the pause. The former tests on connections that are kept stand as they were.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -28,6 +28,9 @@
 /// An idle connection is kept for this part of the backends' limit: one that is written to as its backend
 /// closes it ends as a reset, and what was sent on it may have run.
 const IDLE_PART: u64 = 2;
+/// So long after its last answer a connection is not used again: backends send some answers twice, the second one some
+/// milliseconds late, which would be taken for the answer to the next request.
+const SETTLE: Duration = Duration::from_millis(10);
 /// A connection that is not up after this part of the limit says something of the backend.
 const SILENT_PART: u64 = 4;
 /// How often idle connections are looked through.
@@ -41,6 +44,20 @@
     since: Nanos,
 }
 
+impl Idle {
+    /// From when it may be used again.
+    fn settled(&self) -> Nanos {
+        self.since.saturating_add(SETTLE.as_nanos() as Nanos)
+    }
+}
+
+/// What the pool has for a request.
+enum Taken {
+    Link(Link),
+    /// The first one can be used from then on.
+    Settles(Nanos),
+}
+
 /// Connections to the backends.
 pub struct Pool {
     idle: RefCell<HashMap<Place, Vec<Idle>>>,
@@ -156,7 +173,16 @@
         let place = (launch.backend, launch.endpoint);
         loop {
             let (mut link, fresh) = match self.take(place) {
-                Some(link) => (link, false),
+                Some(Taken::Link(link)) => (link, false),
+                // Cheaper than a new connection, and as a rule no longer in coming.
+                Some(Taken::Settles(at)) => {
+                    sleep_until(self.clock.instant(at)).await;
+                    // Others wait for it as well.
+                    if !node.may_write(launch.ticket) {
+                        return Ending::bare(Outcome::Moot);
+                    }
+                    continue;
+                }
                 // Short of descriptors nobody was asked: that says nothing against the backend.
                 None => match self.slot() {
                     None => return Ending::bare(Outcome::Moot),
@@ -238,17 +264,22 @@
         Ending { outcome, report, body: body.unwrap_or_default() }
     }
 
-    /// An idle connection; the one used last, so that those in excess grow old.
-    fn take(&self, place: Place) -> Option<Link> {
+    /// An idle connection; the one used last, so that those in excess grow old, of those that have settled.
+    fn take(&self, place: Place) -> Option<Taken> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&place)?;
-        while let Some(Idle { link, since }) = links.pop() {
-            if !link.is_closed() && now.saturating_sub(since) < self.links.idle / IDLE_PART {
-                return Some(link);
-            }
+        links.retain(|idle| self.is_good(idle));
+        match links.iter().rposition(|idle| idle.settled() <= now) {
+            Some(at) => Some(Taken::Link(links.remove(at).link)),
+            None => links.first().map(|idle| Taken::Settles(idle.settled())),
         }
-        None
+    }
+
+    /// Whether an idle connection may still be used.
+    fn is_good(&self, idle: &Idle) -> bool {
+        let age = self.clock.now().saturating_sub(idle.since);
+        !idle.link.is_closed() && age < self.links.idle / IDLE_PART
     }
 
     /// Back to the pool, unless its backend has left or moved since: nobody would take it from there.
@@ -282,12 +313,8 @@
     }
 
     fn drop_stale(&self) {
-        let now = self.clock.now();
-        let good = |idle: &Idle| {
-            !idle.link.is_closed() && now.saturating_sub(idle.since) < self.links.idle / IDLE_PART
-        };
         self.idle.borrow_mut().retain(|_, links| {
-            links.retain(good);
+            links.retain(|idle| self.is_good(idle));
             !links.is_empty()
         });
     }
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -173,3 +173,53 @@
     });
     assert!(matches!(reply.await, Reply::Served(body) if body == "right"));
 }
+
+/// The second answer came some milliseconds after the first, and the next request had been written in between.
+#[tokio::test(start_paused = true)]
+async fn a_second_answer_that_comes_late_is_no_answer_to_the_next_request() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let endpoint = listener.local_addr().expect("its address");
+    let links = Links { idle: 60 * SECOND, connect_timeout: SECOND };
+    let upstream = Upstream::new(links, Clock::start(), 8);
+    let crossed = Rc::new(Crossed { upstream, crossing: RefCell::default() });
+    let node = node_over(SECOND, "pushed", crossed);
+    node.fleet(ListScope::Full, vec![Listed { endpoint, ..listed("s", Stage::InService) }]);
+    let connections: Rc<RefCell<Vec<Rc<TcpStream>>>> = Rc::default();
+    let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+    let work = async {
+        let accepted = connections.clone();
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let stream = Rc::new(stream);
+                accepted.borrow_mut().push(stream.clone());
+                spawn_local(async move {
+                    // The answer to the next request on a connection takes longer than anybody waits here.
+                    let (mut chunk, mut answers) = ([0; 4096], true);
+                    loop {
+                        stream.readable().await.expect("readable");
+                        match stream.try_read(&mut chunk) {
+                            Ok(0) => return,
+                            Ok(_) if std::mem::take(&mut answers) => {
+                                assert!(stream.try_write(answer("right").as_bytes()).is_ok());
+                            }
+                            Ok(_) => {}
+                            Err(_) => {}
+                        }
+                    }
+                });
+            }
+        });
+        let first = node.submit(asked(60 * SECOND)).answer().await;
+        assert!(matches!(first, Reply::Served(body) if body == "right"));
+        let next = node.submit(asked(60 * SECOND));
+        // Whatever would be written at once has been by now.
+        for _ in 0..50 {
+            yield_now().await;
+        }
+        let _ = connections.borrow()[0].try_write(answer("stale").as_bytes());
+        next.answer().await
+    };
+    let reply = tokio::task::LocalSet::new().run_until(work).await;
+    assert!(matches!(&reply, Reply::Served(body) if body == "right"), "{reply:?}");
+    assert_eq!(connections.borrow().len(), 2);
+}
