--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -391,3 +391,35 @@
     let (got, ()) = tokio::join!(client, serve(stream, node, phases, || false));
     assert!(got.starts_with("HTTP/1.1 503 "), "{got}");
 }
+
+/// An answer that its client takes slowly is not cut by a shutdown that comes while it goes out.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_is_going_out_as_the_node_closes_goes_out_whole() {
+    const BODY: usize = 60_000;
+    let (node, kept) = driver::tests::node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let (mut peer, stream) = tokio::io::duplex(1024);
+    let (phase, phases) = watch::channel(Phase::Serving);
+    let client = async {
+        peer.write_all(with_budget(CALL, 3000).as_bytes()).await.expect("taken");
+        sleep(Duration::from_millis(10)).await;
+        let launch = kept.launches.borrow_mut().pop().expect("an attempt");
+        let body = bytes::Bytes::from(vec![b'x'; BODY]);
+        node.settled(
+            launch.ticket,
+            driver::Ending { body, ..driver::Ending::bare(brookfield::Outcome::Served) },
+        );
+        sleep(Duration::from_millis(10)).await;
+        phase.send_replace(closing());
+        sleep(Duration::from_millis(700)).await;
+        let mut got = String::new();
+        peer.read_to_string(&mut got).await.expect("an answer and the end");
+        got
+    };
+    let (got, ()) = tokio::select! {
+        both = async { tokio::join!(client, serve(stream, node.clone(), phases, || false)) } => both,
+        () = node.run_timers() => unreachable!("timers run for ever"),
+    };
+    assert!(got.starts_with("HTTP/1.1 200 "), "{}", &got[..got.len().min(100)]);
+    assert_eq!(got.split("\r\n\r\n").nth(1).map(str::len), Some(BODY));
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -336,15 +336,17 @@
 
 /// Starts the program on this text of a configuration.
 pub fn spawn(config: &str) -> Child {
-    spawn_with_file(config, &[]).0
+    spawn_with_file(Command::new(BINARY), config, &[]).0
 }
 
-fn spawn_with_file(config: &str, variables: &[(&str, &str)]) -> (Child, PathBuf) {
+const BINARY: &str = env!("CARGO_BIN_EXE_badgerpost");
+
+fn spawn_with_file(mut program: Command, config: &str, variables: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let number = NEXT.fetch_add(1, Ordering::SeqCst);
     let path = std::env::temp_dir().join(format!("badgerpost-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_badgerpost"))
+    let child = program
         .env("EDGE_CONFIG", &path)
         .envs(variables.iter().copied())
         .stdin(Stdio::null())
@@ -378,7 +380,18 @@
 
     /// Starts with these environment variables too.
     pub fn start_with(config: &Value, variables: &[(&str, &str)]) -> Self {
-        let (mut child, config) = spawn_with_file(&config.to_string(), variables);
+        Self::run(Command::new(BINARY), config, variables)
+    }
+
+    /// Starts with no more descriptors than the configuration grants it.
+    pub fn start_within_limits(config: &Value) -> Self {
+        let mut program = Command::new("sh");
+        program.args(["-c", &format!("ulimit -n {}; exec \"$0\"", config["limits"]["sockets"]), BINARY]);
+        Self::run(program, config, &[])
+    }
+
+    fn run(program: Command, config: &Value, variables: &[(&str, &str)]) -> Self {
+        let (mut child, config) = spawn_with_file(program, &config.to_string(), variables);
         let mut reader = BufReader::new(child.stderr.take().unwrap());
         let at = listening(&mut reader);
         let log = Arc::new(Mutex::new(String::new()));
