Keep how far a shutdown is in a file of its own, and call it a shutdown

Connection and request asked the listener's file for it, which starts them: a circle of files. Moved; nothing else changed. "The way out" hid the usual word in three tests' names.

--- a/node/src/server/call.rs
+++ b/node/src/server/call.rs
@@ -12,7 +12,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
-use super::Phase;
+use super::phase::Phase;
 use crate::driver::{Asked, Call, Node, Reply};
 use crate::upstream::MAX_BODY;
 
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -14,8 +14,8 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::Phase;
 use super::call::answer;
+use super::phase::Phase;
 use super::stream::ClientStream;
 use crate::driver::Node;
 
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -1,10 +1,11 @@
 //! The clients' side: takes connections, reads requests, waits for each one's final answer and writes it.
 //!
 //! This file holds the listener's part. Beside it: `connection`, one connection up to its close; `call`, one request;
-//! `stream`, a client's socket.
+//! `stream`, a client's socket; `phase`, how far a shutdown is.
 
 mod call;
 mod connection;
+mod phase;
 mod stream;
 #[cfg(test)]
 mod tests;
@@ -17,10 +18,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use crate::driver::Node;
 use crate::upstream::without_delay;
+pub use phase::Phase;
 
 /// So long after the last connection has ended another one may have been opened while the node drains.
 const LAST_ONES: Duration = Duration::from_millis(100);
@@ -29,27 +31,6 @@
 /// Slots are scarce once no more than one in this many is free.
 const SCARCE: usize = 8;
 
-/// How far the node's graceful shutdown is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    /// In service.
-    Serving,
-    /// Takes all that comes; each answer ends its connection.
-    Stopping,
-    /// Closes connections on which nothing is going on. What still comes is taken all the same: whoever has a
-    /// connection goes on using it.
-    Closing {
-        /// What comes from now on is answered by then: the process may be killed.
-        answer_by: Instant,
-    },
-}
-
-impl Phase {
-    fn is_closing(&self) -> bool {
-        matches!(self, Self::Closing { .. })
-    }
-}
-
 /// How many connections are open.
 #[derive(Default)]
 struct Open {
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -6,6 +6,7 @@
 use crate::driver;
 use crate::driver::tests::{SECOND, listed};
 use brookfield::{ListScope, Nanos, Stage};
+use tokio::time::Instant;
 
 const MS: Nanos = 1_000_000;
 
@@ -74,14 +75,14 @@
 
 /// Clients go on using what stays open, up to the end: what came last found nobody to answer.
 #[tokio::test(start_paused = true)]
-async fn connections_without_a_request_are_closed_soon_on_the_way_out() {
+async fn connections_without_a_request_are_closed_soon_during_a_shutdown() {
     let (phase, _) = watch::channel(Phase::Stopping);
     let (got, took) = tokio::select! {
         talked = talk_in(&phase, false, &[], Duration::ZERO) => talked,
         () = close_after(&phase, Duration::from_millis(100)) => unreachable!("it pends"),
     };
     assert_eq!(got, "");
-    assert!(took <= Duration::from_millis(300), "one that came during the way out: {took:?}");
+    assert!(took <= Duration::from_millis(300), "one that came during the shutdown: {took:?}");
     let (phase, _) = watch::channel(Phase::Serving);
     let (_, took) = tokio::select! {
         talked = talk_in(&phase, false, &[CALL], Duration::ZERO) => talked,
@@ -92,7 +93,7 @@
 
 /// One that comes late, on a connection that had stayed open, was still out when the process ended.
 #[tokio::test(start_paused = true)]
-async fn what_comes_on_the_way_out_is_answered_before_the_node_may_be_killed() {
+async fn what_comes_during_a_shutdown_is_answered_before_the_node_may_be_killed() {
     let (node, _launches) = driver::tests::node(SECOND);
     node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
     let (mut peer, stream) = tokio::io::duplex(4096);
--- a/node/tests/life.rs
+++ b/node/tests/life.rs
@@ -138,7 +138,7 @@
 /// Clients go on sending on every connection that stays open, and open others for some tenths of a second. Nothing that
 /// the node has taken is lost, on whichever it comes, and the node is gone before it may be killed.
 #[test]
-fn nothing_is_lost_under_load_on_the_way_out() {
+fn nothing_is_lost_under_load_during_a_shutdown() {
     let backend = Backend::new(|_| {
         thread::sleep(std::time::Duration::from_millis(20));
         Does::Writes(ok("yes"))
