--- a/cli/tests/rig.rs
+++ b/cli/tests/rig.rs
@@ -286,7 +286,7 @@
 }
 
 const VIRTUAL: &str = "[run]\non = \"virtual\"\nseconds = 30\n[fleet]\nnodes = 4\nservers = 12\n";
-const LOST: &str = "[[fault]]\nwhat = \"lose-zone\"\nwho = \"hervanta\"\nat_s = 5\nfor_s = 20\n";
+const LOST: &str = "[[fault]]\nwhat = \"lose-zone\"\nwho = \"north\"\nat_s = 5\nfor_s = 20\n";
 
 #[test]
 fn runs_are_compared_and_what_is_no_result_is_told() {
--- a/model/src/plan.rs
+++ b/model/src/plan.rs
@@ -144,7 +144,7 @@
     /// Machine kinds; the usual three if none is named.
     #[serde(rename = "kind")]
     pub kinds: Vec<Kind>,
-    /// Request classes; `segment-save` and `minutes-sign` if none is named.
+    /// Request classes; `save` and `sign` if none is named.
     #[serde(rename = "class")]
     pub classes: Vec<Class>,
     /// Customers; none if none is named.
@@ -215,7 +215,7 @@
 impl Default for Fleet {
     fn default() -> Self {
         Self {
-            zones: vec!["hervanta".to_owned(), "lielahti".to_owned()],
+            zones: vec!["north".to_owned(), "south".to_owned()],
             nodes: 3,
             servers: 8,
             sizes: Vec::new(),
@@ -649,8 +649,8 @@
                 window_ms: 1500.0,
             };
             self.classes = vec![
-                class("segment-save", 0.84, 750.0, 8.0, 0.2, Effect::Keyed),
-                class("minutes-sign", 0.16, 500.0, 10.0, 0.25, Effect::Once),
+                class("save", 0.84, 750.0, 8.0, 0.2, Effect::Keyed),
+                class("sign", 0.16, 500.0, 10.0, 0.25, Effect::Once),
             ];
         }
         self
