Bound what is read ahead of the parser by what every connection may hold

It is 32 KiB now. A test floods one connection: no more than 100 KiB are taken, and it fails with the former figure.

--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -11,8 +11,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
-/// Read ahead at most: a whole request fits. A peer that sends more behind an open request is no longer watched.
-const MOST_AHEAD: usize = 128 * 1024;
+/// Read ahead at most. A peer that sends more behind an open request is no longer watched: clients send one request at
+/// a time, and so many bytes on every connection that a node may hold fit into half of the smallest memory.
+const MOST_AHEAD: usize = 32 * 1024;
 const CHUNK: usize = 4 * 1024;
 
 struct Inner<Stream> {
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -255,6 +255,28 @@
     }
 }
 
+/// With a bound for each connection, for peers that send without end behind a request.
+#[tokio::test(start_paused = true)]
+async fn no_more_is_read_ahead_than_every_connection_may_hold() {
+    let (node, _kept) = driver::tests::node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let (mut peer, stream) = tokio::io::duplex(1024);
+    let (_phase, phases) = watch::channel(Phase::Serving);
+    let mut sent = 0;
+    let flood = async {
+        peer.write_all(with_budget(CALL, 3000).as_bytes()).await.expect("taken");
+        loop {
+            sent += peer.write(&[b'x'; 512]).await.expect("still open");
+        }
+    };
+    tokio::select! {
+        () = flood => unreachable!("it floods for ever"),
+        () = serve(stream, node.clone(), phases, || false) => panic!("the request is still out"),
+        () = sleep(Duration::from_secs(1)) => {}
+    }
+    assert!((32 * 1024..100 * 1024).contains(&sent), "{sent}");
+}
+
 /// The end came after its request had been read and before the attempt was written, in one and the same turn.
 #[tokio::test]
 async fn nothing_is_written_for_a_client_that_leaves_as_its_attempt_is_launched() {
