Wait for no peer when an idle connection is closed: no answer is on its way there

Now only a close that follows an answer waits. The test holds a connection open past the node's close; it fails without the change.

--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -122,7 +122,9 @@
         let (begun, open_ms) = (stream.begun().is_some(), accepted.elapsed().as_millis() as u64);
         tracing::debug!(cause = ?end, begun, open_ms, "a client's connection ends");
         match end {
-            End::Parser | End::Overdue => break,
+            End::Parser => break,
+            // No answer is on its way here, and the slot is wanted.
+            End::Overdue => return,
             // Whoever waits for the answer is dropped with the parser: that tells the module.
             End::Gone | End::Unread => return,
             End::Drain => {}
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -217,6 +217,26 @@
     text.replace("X-Budget-Ms: 1\r", &format!("X-Budget-Ms: {ms}\r"))
 }
 
+/// Idle clients that rest until the node ends them held their slots for as long as an answer's last bytes are waited for.
+#[tokio::test(start_paused = true)]
+async fn a_connection_closed_as_idle_frees_its_slot_at_once() {
+    for asks in [true, false] {
+        let (mut peer, stream) = tokio::io::duplex(4096);
+        let (_phase, phases) = watch::channel(Phase::Serving);
+        let (node, _) = driver::tests::node(0);
+        let began = Instant::now();
+        if asks {
+            peer.write_all(CALL.as_bytes()).await.expect("taken");
+        }
+        tokio::select! {
+            () = serve(stream, node.clone(), phases, || false) => {}
+            () = node.run_timers() => unreachable!("timers run for ever"),
+        }
+        assert!(began.elapsed() < Duration::from_millis(2250), "{:?}", began.elapsed());
+        drop(peer);
+    }
+}
+
 /// The parser held bytes of a next request, and looked no further: what its client had left behind was sent on.
 #[tokio::test(start_paused = true)]
 async fn a_client_that_has_gone_is_noticed_behind_whatever_it_sent() {
