--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -25,15 +25,8 @@
 /// being tried.
 #[tokio::test]
 async fn a_connection_that_never_comes_up_counts_also_if_the_request_ends_first() {
-    let socket = TcpSocket::new_v4().expect("a socket");
-    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("an address");
-    let listener = socket.listen(1).expect("a listener");
+    let (listener, _queue) = silent().await;
     let endpoint = listener.local_addr().expect("its address");
-    // Nobody accepts: once its queue is full a listener says nothing to further connections.
-    let mut queue: Vec<_> = (0..16).map(|_| Box::pin(TcpStream::connect(endpoint))).collect();
-    for connecting in &mut queue {
-        poll_fn(|context| Poll::Ready(connecting.as_mut().poll(context).is_ready())).await;
-    }
     let (node, kept) = node(SECOND);
     node.fleet(ListScope::Full, vec![Listed { endpoint, ..listed("s", Stage::InService) }]);
     let _waiting = node.submit(asked(60 * SECOND));
