Word an answer's expected delay, a supervisor's end and a launch under test in one place each

Read again: repeat_by had written patience's delay once more (src/choice.rs); two arms of a match did the same since idle closes wait for nobody (server/connection.rs); two tests of late connections set up the same launch (upstream/tests.rs). Behaviour and assertions are as they were.

--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -123,10 +123,9 @@
         tracing::debug!(cause = ?end, begun, open_ms, "a client's connection ends");
         match end {
             End::Parser => break,
-            // No answer is on its way here, and the slot is wanted.
-            End::Overdue => return,
-            // Whoever waits for the answer is dropped with the parser: that tells the module.
-            End::Gone | End::Unread => return,
+            // No answer is on its way to a peer that reads, and the slot is wanted. Whoever waits for one is dropped with
+            // the parser: that tells the module.
+            End::Overdue | End::Gone | End::Unread => return,
             End::Drain => {}
         }
         // Nothing is being served. What has come since, be it half a head or still in the socket, is a request that the
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -6,7 +6,7 @@
 
 use super::*;
 use crate::driver::tests::{Crossed, SECOND, asked, listed, node, node_over};
-use crate::driver::{Listed, Reply};
+use crate::driver::{Listed, Reply, Waiting};
 
 /// The node's own want of descriptors once counted against the backends, and ejected good ones.
 #[tokio::test]
@@ -27,12 +27,7 @@
 async fn a_connection_that_never_comes_up_counts_also_if_the_request_ends_first() {
     let (listener, _queue) = silent().await;
     let endpoint = listener.local_addr().expect("its address");
-    let (node, kept) = node(SECOND);
-    node.fleet(ListScope::Full, vec![Listed { endpoint, ..listed("s", Stage::InService) }]);
-    let _waiting = node.submit(asked(60 * SECOND));
-    let mut launch = kept.launches.borrow_mut().pop().expect("an attempt");
-    let (_withdraw, withdrawn) = tokio::sync::oneshot::channel();
-    launch.withdrawn = withdrawn;
+    let (node, mut launch, _held) = launched(endpoint);
     launch.give_up = node.clock().now() + SECOND / 4;
     let links = Links { idle: SECOND, connect_timeout: SECOND };
     let upstream = Upstream::new(links, node.clock(), 8);
@@ -40,6 +35,17 @@
     assert_eq!(ending.outcome, Outcome::ConnectFailed);
 }
 
+/// A node and its attempt at a backend there, and what keeps the attempt from being withdrawn.
+fn launched(endpoint: SocketAddr) -> (Node, Launch, (Waiting, tokio::sync::oneshot::Sender<()>)) {
+    let (node, kept) = node(SECOND);
+    node.fleet(ListScope::Full, vec![Listed { endpoint, ..listed("s", Stage::InService) }]);
+    let waiting = node.submit(asked(60 * SECOND));
+    let mut launch = kept.launches.borrow_mut().pop().expect("an attempt");
+    let (withdraw, withdrawn) = tokio::sync::oneshot::channel();
+    launch.withdrawn = withdrawn;
+    (node, launch, (waiting, withdraw))
+}
+
 /// A listener whose queue is full: it says nothing to further connections until it accepts.
 async fn silent() -> (tokio::net::TcpListener, Vec<std::pin::Pin<Box<dyn Future<Output = ()>>>>) {
     let socket = TcpSocket::new_v4().expect("a socket");
@@ -64,12 +70,7 @@
 async fn a_repeat_whose_connection_comes_up_past_its_window_is_not_written() {
     let (listener, queue) = silent().await;
     let endpoint = listener.local_addr().expect("its address");
-    let (node, kept) = node(SECOND);
-    node.fleet(ListScope::Full, vec![Listed { endpoint, ..listed("s", Stage::InService) }]);
-    let _waiting = node.submit(asked(60 * SECOND));
-    let mut launch = kept.launches.borrow_mut().pop().expect("an attempt");
-    let (_withdraw, withdrawn) = tokio::sync::oneshot::channel();
-    launch.withdrawn = withdrawn;
+    let (node, mut launch, _held) = launched(endpoint);
     launch.send_by = node.clock().now() + SECOND / 4;
     let links = Links { idle: SECOND, connect_timeout: 20 * SECOND };
     let upstream = Upstream::new(links, node.clock(), 8);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -302,11 +302,16 @@
     fn repeat_by(&self, request: &Request, backend: &Backend) -> Option<Nanos> {
         let Effect::Keyed { window, .. } = self.settings.classes[request.class].effect else { return None };
         let first = request.attempts.iter().find(|attempt| attempt.may_have_run())?;
-        let slowness = backend.slowness(self.now, &self.settings.rules);
-        let delay = slowness * backend.load(self.crowd()) * self.classes[request.class].base;
+        let delay = self.expected_delay(backend, request.class);
         Some(first.sent.saturating_add(window).saturating_sub(delay as Nanos + self.settings.quantum))
     }
 
+    /// How long an answer from there should take, in nanoseconds.
+    fn expected_delay(&self, backend: &Backend, class: usize) -> f64 {
+        let slowness = backend.slowness(self.now, &self.settings.rules);
+        slowness * backend.load(self.crowd()) * self.classes[class].base
+    }
+
     /// The one place that sends. False where the gate forbids it.
     fn send(&mut self, id: RequestId, to: BackendId, actions: &mut Vec<Action>) -> bool {
         let (crowd, gate) = (self.crowd(), self.requests.get(&id).zip(self.backends.get(&to)));
@@ -351,15 +356,15 @@
     /// So long that slowness is no sign of it, and so short that there is time for the other.
     fn patience(&self, class: usize, to: BackendId, aim_end: Nanos) -> Option<Nanos> {
         let (backend, settings) = (self.backends.get(&to)?, &self.settings.classes[class]);
-        let (view, rules) = (&self.classes[class], &self.settings.rules);
-        let delay = backend.slowness(self.now, rules) * backend.load(self.crowd()) * view.base;
+        let delay = self.expected_delay(backend, class);
         let wait = ((PATIENCE * delay) as Nanos).max(settings.aim / 2);
         // Given up past its window nobody could repeat it, and its answer would be lost for nothing.
         let late = |window| wait + delay as Nanos + self.settings.quantum >= window;
         if matches!(settings.effect, Effect::Keyed { window, .. } if late(window)) {
             return None;
         }
-        let may = settings.effect != Effect::Once && view.samples > 50.0 && self.retry_tokens >= 1.0;
+        let may =
+            settings.effect != Effect::Once && self.classes[class].samples > 50.0 && self.retry_tokens >= 1.0;
         (may && self.now + wait < aim_end).then_some(wait)
     }
 
