Log each decision of slow start, state changes of backends and the list's versions

Need: a server in slow start was overloaded by the sum of all nodes, and no log told which node sent to it on which figures. Change: the decision core emits a typed note with age, ramp, sample, estimate, budget, spent work, cost and deciding branch for each attempt granted to a cold backend, and one note a backend and 100 ms for those refused, with their count. Log target badgerpost::slow_start at debug. Backends listed, changed, warm and gone at info; versions of lists at debug. The simulator's adapter leaves the notes out.

--- a/node/src/discovery/mod.rs
+++ b/node/src/discovery/mod.rs
@@ -212,6 +212,7 @@
             tracing::warn!(rev = list.rev, "the list's version has gone back");
             return;
         }
+        tracing::debug!(rev = list.rev, whole = list.all, lines = list.targets.len(), "list answered");
         let scope = if list.all { ListScope::Full } else { ListScope::Changes };
         if list.all || !list.targets.is_empty() {
             self.node.fleet(scope, list.listed());
--- a/node/src/driver/backends.rs
+++ b/node/src/driver/backends.rs
@@ -57,6 +57,7 @@
         left.into_iter().filter_map(|uid| {
             let id = self.ids.remove(&uid)?;
             self.known.remove(&id);
+            tracing::info!(backend = uid, "backend has left the list");
             Some(id)
         })
     }
@@ -84,6 +85,10 @@
         let before = self.known.get(&id);
         let draining_since = draining.then(|| before.and_then(|b| b.draining_since).unwrap_or(now));
         let moved = |b: &Known| b.endpoint != listed.endpoint || b.boot_ms != listed.boot_ms;
+        if before.is_none_or(|b| moved(b) || b.draining_since.is_some() != draining) {
+            let (backend, stage, boot_ms) = (&listed.uid, listed.stage, listed.boot_ms);
+            tracing::info!(backend, ?stage, boot_ms, "backend listed");
+        }
         if draining || before.is_some_and(moved) {
             retired.push(id);
         }
--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -19,7 +19,7 @@
 
 use brookfield::{
     Action, Arrival, BackendId, Balancer, ClassId, Discovery, Effect, Event, ListScope, Nanos, Note, Outcome,
-    RequestId, Settings, SettingsError, Settlement, ZoneId, ZoneOrder,
+    RequestId, Settings, SettingsError, Settlement, SlowStartDecision, ZoneId, ZoneOrder,
 };
 use brookfield_settings::Words;
 pub use flaxdale_fleet::clock::Clock;
@@ -35,6 +35,10 @@
 /// the module's own housekeeping, well inside the slack that the rules leave.
 const BACKSTOP: Nanos = 20_000_000;
 
+const MILLISECOND: Nanos = 1_000_000;
+/// The log's target for slow start's decisions, of which every attempt to a cold backend makes one.
+const SLOW_START: &str = "badgerpost::slow_start";
+
 /// Carries out on the network what the module asks for.
 pub trait Launcher {
     /// Starts an attempt; its end comes back by [`Node::settled`], exactly once.
@@ -315,6 +319,10 @@
                 let backend = self.backends.uid(backend);
                 tracing::info!(backend, cause = ?cause, span_ms = span / 1_000_000, "backend ejected");
             }
+            Note::SlowStart(decision) => self.log_slow_start(decision),
+            Note::Warm { backend } => {
+                tracing::info!(backend = self.backends.uid(backend), "backend warm");
+            }
             Note::Share { zone, percent } => {
                 tracing::info!(zone = self.words.zone_name(zone), percent, "the zone has its ordered share");
             }
@@ -324,6 +332,26 @@
         }
     }
 
+    fn log_slow_start(&self, decision: SlowStartDecision) {
+        tracing::debug!(
+            target: SLOW_START,
+            backend = self.backends.uid(decision.backend),
+            branch = ?decision.branch,
+            age_ms = decision.age / MILLISECOND,
+            ramp = decision.ramp,
+            sample_ms_per_s = decision.sample / MILLISECOND as f64,
+            estimate_ms_per_s = decision.estimate / MILLISECOND as f64,
+            slowness = decision.slowness,
+            capacity_ms_per_s = decision.capacity / MILLISECOND as f64,
+            proven = decision.proven,
+            budget_ms = decision.budget / MILLISECOND as f64,
+            spent_ms = decision.spent / MILLISECOND as f64,
+            cost_ms = decision.cost / MILLISECOND as f64,
+            refusals = decision.refusals,
+            "slow start"
+        );
+    }
+
     fn set_timer(&mut self, at: Nanos, due: Due, errands: &mut Errands) {
         errands.rearm |= self.timers.set(at, due);
     }
--- a/src/api.rs
+++ b/src/api.rs
@@ -481,9 +481,67 @@
     Log(Note),
 }
 
-/// What the operators' log is told: what happened, to what, and the figures. [`fmt::Display`] words it.
+/// Why slow start let an attempt through, or kept it back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlowStartBranch {
+    /// The work sent in the span and this attempt fit into the node's part of the budget.
+    WithinBudget,
+    /// Nothing was sent in the span, and chance let this node be one of those that try.
+    Trial,
+    /// The budget is spent, or chance has left the trial to other nodes.
+    OverBudget,
+    /// Other nodes use this backend.
+    OutsideSubset,
+}
+
+impl SlowStartBranch {
+    /// Whether the attempt may be made.
+    pub fn grants(self) -> bool {
+        matches!(self, Self::WithinBudget | Self::Trial)
+    }
+}
+
+/// One decision of slow start with the figures that it rests on. Work is in nanoseconds of expected time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct SlowStartDecision {
+    /// The backend that is warming up.
+    pub backend: BackendId,
+    /// Time since its start, in nanoseconds.
+    pub age: Nanos,
+    /// Part of its capacity that it is held to have, 0 to 1.
+    pub ramp: f64,
+    /// What this node now serves for each unit of used capacity in the zone, in work a second.
+    pub sample: f64,
+    /// The same as the node remembers it.
+    pub estimate: f64,
+    /// What it is held to serve of a warm peer's capacity, in work a second.
+    pub capacity: f64,
+    /// Delay of this backend's answers against the expected one.
+    pub slowness: f64,
+    /// What multiplies the budget for answers that came sooner than the ramp implies.
+    pub proven: f64,
+    /// Work that this node may send in a span of [`RuleFigures::fall_span`].
+    pub budget: f64,
+    /// Work that it has sent in the span so far.
+    pub spent: f64,
+    /// Work of the attempt that was decided on.
+    pub cost: f64,
+    /// Which rule decided.
+    pub branch: SlowStartBranch,
+    /// Attempts kept back since the last note on this backend, this one included.
+    pub refusals: u32,
+}
+
+/// What the operators' log is told: what happened, to what, and the figures. [`fmt::Display`] words it.
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Note {
+    /// Slow start has let an attempt to a cold backend through, or has kept some back.
+    SlowStart(SlowStartDecision),
+    /// A backend that was cold has its full capacity now.
+    Warm {
+        /// The backend.
+        backend: BackendId,
+    },
     /// The home zone has crossed the threshold.
     Spill {
         /// The node's own zone.
@@ -527,6 +585,10 @@
                 write!(f, "backend {} ejected for {} ms: {cause:?}", backend.0, span / 1_000_000)
             }
             Self::Readmitted { backend } => write!(f, "backend {} readmitted: trials served", backend.0),
+            Self::SlowStart(decision) => {
+                write!(f, "backend {} is cold: {:?}", decision.backend.0, decision.branch)
+            }
+            Self::Warm { backend } => write!(f, "backend {} is warm", backend.0),
             Self::Share { zone, percent } => write!(f, "zone {} has its ordered share, {percent}%", zone.0),
         }
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -297,6 +297,18 @@
         live && attempts_left && alone && repeat_dropped && in_service && self.cold_budget(backend, request)
     }
 
+    /// Whether slow start lets the attempt through. One that it keeps back is counted for the log.
+    fn cold_budget(&self, backend: &Backend, request: &Request) -> bool {
+        let Some(mut decision) = self.slow_start(backend, request) else { return true };
+        let grants = decision.branch.grants();
+        if !grants {
+            let count = backend.refusals.get().count.saturating_add(1);
+            decision.refusals = count;
+            backend.refusals.set(Refusals { count, last: Some(decision) });
+        }
+        grants
+    }
+
     /// When a repeat has to be on its way, for its group still to know the first copy when it runs: a server
     /// takes it up after what it holds, within the time of an answer from there. `None` without a first copy.
     fn repeat_by(&self, request: &Request, backend: &Backend) -> Option<Nanos> {
@@ -319,6 +331,7 @@
             return false;
         }
         let send_by = gate.and_then(|(request, backend)| self.repeat_by(request, backend));
+        let slow_start = gate.and_then(|(request, backend)| self.slow_start(backend, request));
         let (Some(request), Some(backend)) = (self.requests.get_mut(&id), self.backends.get_mut(&to)) else {
             return false;
         };
@@ -334,8 +347,9 @@
         backend.in_flight += 1;
         let (class, aim_end, zone) = (request.class, request.aim_end, backend.member.zone);
         self.zones.get_mut(zone.0 as usize).into_iter().for_each(|view| view.sent_at = self.now);
-        if backend.ramp(self.now, &self.settings.rules) < 1.0 {
+        if let Some(decision) = slow_start {
             backend.cold_sends.push_back((self.now, request.cold_cost));
+            actions.push(Action::Log(Note::SlowStart(decision)));
         }
         if let Health::Ejected { .. } = backend.health {
             backend.health = Health::HalfOpen { served: 0 };
@@ -498,6 +512,7 @@
         }
         self.value_classes();
         self.measure_capacity();
+        self.note_slow_start(actions);
         for zone in &mut self.zones {
             // Forgotten slowly, so that a link that has become slow shows.
             zone.least_elapsed = zone.least_elapsed.map(|least| least * 1.002);
@@ -789,26 +804,24 @@
         let unit = |(served, used): (f64, f64)| if used > 0.0 { served / used } else { 0.0 };
         let all = unit(sums.iter().fold((0.0, 0.0), |all, sum| (all.0 + sum.0, all.1 + sum.1)));
         for (zone, sum) in self.zones.iter_mut().zip(sums) {
+            zone.capacity_sample = unit(sum);
             let change = unit(sum).max(all / f64::from(self.settings.nodes)) - zone.capacity;
             zone.capacity += change * if change > 0.0 { CAPACITY_RISE } else { CAPACITY_FALL };
         }
     }
 
-    /// Whether this node's share of a cold backend's budget has room.
-    fn cold_budget(&self, backend: &Backend, request: &Request) -> bool {
+    /// Whether this node's share of a cold backend's budget has room; none for a warm one.
+    fn slow_start(&self, backend: &Backend, request: &Request) -> Option<SlowStartDecision> {
         let rules = &self.settings.rules;
         let ramp = backend.ramp(self.now, rules);
         if ramp >= 1.0 {
-            return true;
+            return None;
         }
         let since = self.now.saturating_sub(rules.fall_span + self.settings.quantum);
         let spent: f64 = backend.cold_sends.iter().filter(|(at, _)| *at >= since).map(|send| send.1).sum();
         let span = rules.fall_span as f64 / SECOND as f64;
         // Only nodes with it in their subset send there, and these divide the budget.
         let zone = self.zones.get(backend.member.zone.0 as usize).copied().unwrap_or_default();
-        if self.many() && backend.lot > zone.subset {
-            return false;
-        }
         // The nodes of all other zones together get as much as those of its own, and not a try each.
         let own = !self.many() || backend.member.zone == self.settings.home;
         let users = self.reach(backend.member.zone) * if own { 1.0 } else { f64::from(self.settings.zones) };
@@ -822,8 +835,44 @@
         // one of a zone's nodes or so always tries, as no figure may come from elsewhere.
         let epoch = self.now / rules.fall_span.max(1);
         let lot = mix(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as f64 / u64::MAX as f64;
-        spent + request.cold_cost <= budget
-            || (spent == 0.0 && lot <= (budget / request.cold_cost).max(least))
+        let branch = if self.many() && backend.lot > zone.subset {
+            SlowStartBranch::OutsideSubset
+        } else if spent + request.cold_cost <= budget {
+            SlowStartBranch::WithinBudget
+        } else if spent == 0.0 && lot <= (budget / request.cold_cost).max(least) {
+            SlowStartBranch::Trial
+        } else {
+            SlowStartBranch::OverBudget
+        };
+        Some(SlowStartDecision {
+            backend: backend.member.backend,
+            age: backend.member.online_since.map_or(0, |since| self.now.saturating_sub(since)),
+            ramp,
+            sample: zone.capacity_sample,
+            estimate: zone.capacity,
+            capacity,
+            slowness: backend.slowness(self.now, rules),
+            proven,
+            budget,
+            spent,
+            cost: request.cold_cost,
+            branch,
+            refusals: 0,
+        })
+    }
+
+    /// Logs what slow start has kept back, one line a backend, and which backends have become warm.
+    fn note_slow_start(&mut self, actions: &mut Vec<Action>) {
+        let rules = &self.settings.rules;
+        for backend in self.backends.values_mut() {
+            if let Some(decision) = backend.refusals.take().last {
+                actions.push(Action::Log(Note::SlowStart(decision)));
+            }
+            let cold = backend.member.stage == Stage::InService && backend.ramp(self.now, rules) < 1.0;
+            if std::mem::replace(&mut backend.was_cold, cold) && !cold {
+                actions.push(Action::Log(Note::Warm { backend: backend.member.backend }));
+            }
+        }
     }
 
     // 7. Admission and retries.
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a node keeps: smoothed figures, its requests, and its views of backends, zones and classes.
 //! Plain data and arithmetic that know nothing of what decides on them: every decision is in `choice.rs` and `zones.rs`.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
@@ -116,6 +117,13 @@
     },
 }
 
+/// Attempts that slow start has kept back since they were last logged.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct Refusals {
+    pub(crate) count: u32,
+    pub(crate) last: Option<SlowStartDecision>,
+}
+
 /// A backend as this node sees it.
 #[derive(Default)]
 pub(crate) struct Backend {
@@ -131,6 +139,10 @@
     pub(crate) health: Health,
     pub(crate) ejections: u32,
     pub(crate) cold_sends: VecDeque<(Nanos, f64)>,
+    /// Counted where backends are compared, which changes nothing else.
+    pub(crate) refusals: Cell<Refusals>,
+    /// Whether it was still cold when last looked at.
+    pub(crate) was_cold: bool,
     /// Requests held for each core, as the list's live weight told last.
     pub(crate) held: Option<f64>,
     /// This node's lot for it: the lowest ones of a zone are its subset.
@@ -174,8 +186,9 @@
     pub(crate) listed: f64,
     pub(crate) size: f64,
     pub(crate) subset: u64,
-    /// What this node serves there of each unit of used capacity.
+    /// What this node serves there of each unit of used capacity, and its last sample.
     pub(crate) capacity: f64,
+    pub(crate) capacity_sample: f64,
     /// Share of the requests that spill, where nodes are many.
     pub(crate) spill: f64,
     pub(crate) least_elapsed: Option<f64>,
--- a/wirehost/src/main.rs
+++ b/wirehost/src/main.rs
@@ -9,7 +9,8 @@
 use std::process::ExitCode;
 
 use brookfield::{
-    Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Member, Nanos, RequestId, Settlement,
+    Action, Arrival, BackendId, Balancer, ClassId, Event, ListScope, Member, Nanos, Note, RequestId,
+    Settlement,
 };
 use brookfield_settings::{Fields, Words};
 use serde_json::{Value, json};
@@ -134,6 +135,8 @@
             Action::Timer { after, token } => {
                 ("DEFER", json!({"who": who, "from-now-ns": after, "name": token}))
             }
+            // One of these goes with every attempt to a cold backend: they are for a log with a filter.
+            Action::Log(Note::SlowStart(_)) => return,
             Action::Log(note) => ("REMARK", json!({"who": who, "note-text": note.to_string()})),
         };
         self.write(tag, body);
