--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -25,6 +25,7 @@
 pub use flaxdale_fleet::clock::Clock;
 use flaxdale_fleet::file::Fleet;
 use tokio::sync::{Notify, oneshot};
+use tracing::Level;
 
 use backends::Backends;
 pub use exchange::{Asked, Call, Ending, Launch, ListState, Listed, Reply, Ticket};
@@ -36,9 +37,14 @@
 const BACKSTOP: Nanos = 20_000_000;
 
 const MILLISECOND: Nanos = 1_000_000;
-/// The log's target for slow start's decisions, of which every attempt to a cold backend makes one.
+/// The log's target for slow start: attempts that it grants are at debug, those that it refuses at trace.
 const SLOW_START: &str = "badgerpost::slow_start";
 
+/// Nanoseconds of work in whole milliseconds.
+fn milliseconds(work: f64) -> f64 {
+    (work / MILLISECOND as f64).round()
+}
+
 /// Carries out on the network what the module asks for.
 pub trait Launcher {
     /// Starts an attempt; its end comes back by [`Node::settled`], exactly once.
@@ -332,24 +338,31 @@
         }
     }
 
+    /// Work in milliseconds and parts in percent: a line is read by people.
     fn log_slow_start(&self, decision: SlowStartDecision) {
-        tracing::debug!(
-            target: SLOW_START,
-            backend = self.backends.uid(decision.backend),
-            branch = ?decision.branch,
-            age_ms = decision.age / MILLISECOND,
-            ramp = decision.ramp,
-            sample_ms_per_s = decision.sample / MILLISECOND as f64,
-            estimate_ms_per_s = decision.estimate / MILLISECOND as f64,
-            slowness = decision.slowness,
-            capacity_ms_per_s = decision.capacity / MILLISECOND as f64,
-            proven = decision.proven,
-            budget_ms = decision.budget / MILLISECOND as f64,
-            spent_ms = decision.spent / MILLISECOND as f64,
-            cost_ms = decision.cost / MILLISECOND as f64,
-            refusals = decision.refusals,
-            "slow start"
-        );
+        macro_rules! log {
+            ($level:expr) => {
+                tracing::event!(
+                    target: SLOW_START,
+                    $level,
+                    backend = self.backends.uid(decision.backend),
+                    branch = ?decision.branch,
+                    age_ms = decision.age / MILLISECOND,
+                    ramp_percent = (100.0 * decision.ramp).round(),
+                    sample = milliseconds(decision.sample),
+                    estimate = milliseconds(decision.estimate),
+                    capacity = milliseconds(decision.capacity),
+                    slow_percent = (100.0 * decision.slowness).round(),
+                    proven_percent = (100.0 * decision.proven).round(),
+                    budget = milliseconds(decision.budget),
+                    spent = milliseconds(decision.spent),
+                    cost = milliseconds(decision.cost),
+                    refusals = decision.refusals,
+                    "slow start"
+                )
+            };
+        }
+        if decision.branch.grants() { log!(Level::DEBUG) } else { log!(Level::TRACE) }
     }
 
     fn set_timer(&mut self, at: Nanos, due: Due, errands: &mut Errands) {
