Add failing tests: cold servers are overloaded by the sum of nodes in many zones

Need: the incident has to be forced before anything is repaired. Seen: nodes of six zones, each within its own budget, sent a cold server 2.6 times what it could do.

--- a/cli/tests/rig.rs
+++ b/cli/tests/rig.rs
@@ -203,6 +203,22 @@
     assert!(happened.iter().all(|event| event["kind"] != "rig-trouble"), "{happened:?}");
 }
 
+/// Servers that came back cold were pushed over by the sum of nodes that stood in many zones: in 4 of 4 runs of this
+/// experiment, before the parts of all nodes added up to one server.
+#[test]
+fn nodes_of_many_zones_spare_servers_that_come_back_cold() {
+    let folder = tempfile::tempdir().expect("a folder");
+    for seed in ["1", "2"] {
+        let out = folder.path().join(seed);
+        let output = play(&experiment("short-cold"), &out, &["--seed", seed]);
+        let result = result(&out);
+        let rules = result["invariants"].as_array().expect("a list");
+        let spared = rules.iter().find(|rule| rule["name"] == "cold_spared").expect("the rule");
+        assert!(spared["checked"].as_u64() > Some(100), "{spared:#}");
+        assert_eq!(spared["broken"], 0, "seed {seed}: {spared:#} {}", words(&output.stderr));
+    }
+}
+
 /// Somebody else pauses a node: what it took is owed its answers, and the rig excuses only what it did itself.
 #[test]
 fn a_broken_rule_fails_the_run_and_is_told_with_the_request_and_its_way() {
--- /dev/null
+++ b/tests/slow_start/main.rs
@@ -0,0 +1,78 @@
+//! Slow start is kept by the sum of all nodes.
+//!
+//! Seen: four servers crashed and came back cold within 2.2 s, and the one that came last, 4.4 s old, was sent 2.6
+//! times what it could do. How: 32 nodes in six zones shared twelve servers; with the others crowded, nodes of every
+//! zone sent two or three requests each to the cold one, every one of them within its node's own budget. Cause: the
+//! least part of a server's capacity that a node could count on was one part in the nodes of *a* zone, and as many
+//! such parts were handed out as there are zones. Proof: each node's log showed the same 188 ms of work a second
+//! (1000 / (32 / 6)), whatever it had measured (1 to 130), no trial, no proven capacity, and ages that agreed.
+
+mod fleet;
+
+use brookfield::*;
+use fleet::{Fleet, Overload, Shape};
+
+const SECOND: Nanos = 1_000_000_000;
+
+/// Fleets that are drawn; `SLOW_START_FLEETS` plays more of them.
+const DRAWN: u64 = 24;
+
+/// The budget that one of `nodes` nodes gives itself on a cold backend of zone 0, having served nothing yet.
+fn first_budget(rules: RuleFigures, nodes: u32, zones: u32, node: u32) -> f64 {
+    let home = ZoneId(node % zones);
+    let settings =
+        Settings { nodes, rules, classes: vec![ClassSettings::default()], ..Settings::new(home, zones) };
+    let mut balancer = Balancer::new(settings, u64::from(node), 0).expect("usable settings");
+    let cold = Member { online_since: Some(0), size: 1.0, ..Member::default() };
+    let mut actions = Vec::new();
+    balancer.handle(0, Event::Start, &mut actions);
+    balancer.handle(0, Event::Fleet { scope: ListScope::Full, members: vec![cold] }, &mut actions);
+    for turn in 0..40 {
+        let now = turn * SECOND / 10;
+        let request = RequestId(turn);
+        let not_after = now + SECOND;
+        let arrival =
+            Arrival { request, class: ClassId(0), hint: None, repeat: false, tenant: None, not_after };
+        balancer.handle(now, Event::Request(arrival), &mut actions);
+        balancer.handle(now, Event::Timer { token: 0 }, &mut actions);
+    }
+    let budget = |action: &Action| match action {
+        Action::Log(Note::SlowStart(decision)) => Some(decision.budget / decision.ramp),
+        _ => None,
+    };
+    actions.iter().filter_map(budget).fold(0.0, f64::max)
+}
+
+/// However many zones the nodes stand in, what they may send before any of them has learned anything is together no
+/// more than a server takes that works on one request at a time.
+#[test]
+fn the_budgets_of_all_nodes_add_up_to_what_a_cold_server_takes() {
+    let rules = Settings::new(ZoneId(0), 1).rules;
+    let takes = rules.tip_multiple * rules.fall_span as f64;
+    for (nodes, zones) in [(32, 6), (12, 12), (1, 1), (2, 2), (5, 3), (16, 3), (90, 12), (20, 2), (300, 6)] {
+        let sum: f64 = (0..nodes).map(|node| first_budget(rules, nodes, zones, node)).sum();
+        assert!(sum <= takes, "{nodes} nodes in {zones} zones: {:.2} of what it takes", sum / takes);
+        assert!(sum >= 0.2 * takes, "{nodes} nodes in {zones} zones: only {:.2} of it", sum / takes);
+    }
+}
+
+/// How far the worst cold server of a fleet was over what it could take.
+fn worst_overload(shape: Shape, seed: u64) -> Option<Overload> {
+    let mut fleet = Fleet::new(shape, seed);
+    fleet.play();
+    fleet.worst_overload()
+}
+
+/// Nodes and zones in every proportion, with loads, crashes, reports and moving clients of every kind; among them
+/// a node alone in each of twelve zones.
+#[test]
+fn cold_servers_are_spared_in_drawn_fleets() {
+    let count = std::env::var("SLOW_START_FLEETS").ok().and_then(|count| count.parse().ok()).unwrap_or(DRAWN);
+    let drawn = (0..count).map(|seed| (seed, Shape::drawn(seed)));
+    let alone = (0..4).map(|seed| (seed, Shape { nodes: 12, zones: 12, ..Shape::default() }));
+    let broken: Vec<(u64, Shape, Overload)> = alone
+        .chain(drawn)
+        .filter_map(|(seed, shape)| Some((seed, shape, worst_overload(shape, seed)?)))
+        .collect();
+    assert!(broken.is_empty(), "{} of {}: {broken:#?}", broken.len(), count + 4);
+}
