Have the slow start budgets of all nodes add up to what a cold server takes

Cause: a node's least budget on a cold server was one part in the nodes of one zone (SECOND / crowd, with the maximum of an estimate), yet nodes of every zone draw on it: as many wholes were handed out as there are zones. The estimate beside it was an upper envelope (up 5%, down 0.2% a step), so each node kept its own best moment, in a unit of learned time that moves with the load. All three are a bound on a sum that each one keeps by its own maximum. Change: the least part is one in all nodes that may send; the estimate is the smoothed sum of what was counted, alike up and down, over the used part smoothed alike, and stands while a zone has no warm server; work counts in requests of mean work. Parts: 0.4 measured, doubled at most where proven, and 0.2 unmeasured. Sends that have left the span are dropped.

--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -40,9 +40,9 @@
 /// The log's target for slow start: attempts that it grants are at debug, those that it refuses at trace.
 const SLOW_START: &str = "badgerpost::slow_start";
 
-/// Nanoseconds of work in whole milliseconds.
-fn milliseconds(work: f64) -> f64 {
-    (work / MILLISECOND as f64).round()
+/// A figure with two digits behind the point.
+fn rounded(figure: f64) -> f64 {
+    (figure * 100.0).round() / 100.0
 }
 
 /// Carries out on the network what the module asks for.
@@ -338,7 +338,7 @@
         }
     }
 
-    /// Work in milliseconds and parts in percent: a line is read by people.
+    /// Work in requests of mean work, parts in percent: a line is read by people.
     fn log_slow_start(&self, decision: SlowStartDecision) {
         macro_rules! log {
             ($level:expr) => {
@@ -349,14 +349,14 @@
                     branch = ?decision.branch,
                     age_ms = decision.age / MILLISECOND,
                     ramp_percent = (100.0 * decision.ramp).round(),
-                    sample = milliseconds(decision.sample),
-                    estimate = milliseconds(decision.estimate),
-                    capacity = milliseconds(decision.capacity),
+                    estimate = rounded(decision.estimate),
+                    measured = rounded(decision.measured),
+                    least = rounded(decision.least),
                     slow_percent = (100.0 * decision.slowness).round(),
                     proven_percent = (100.0 * decision.proven).round(),
-                    budget = milliseconds(decision.budget),
-                    spent = milliseconds(decision.spent),
-                    cost = milliseconds(decision.cost),
+                    budget = rounded(decision.budget),
+                    spent = rounded(decision.spent),
+                    cost = rounded(decision.cost),
                     refusals = decision.refusals,
                     "slow start"
                 )
--- a/src/api.rs
+++ b/src/api.rs
@@ -436,8 +436,8 @@
         backend: BackendId,
         /// Its time-out; `None` until the client gives up.
         timeout: Option<Nanos>,
-        /// When it has to be on its way at the latest, as [`Balancer::handle`] counts time: a repeat that is sent
-        /// later may run again. `None` for one that may be sent at any time.
+        /// When it has to be on its way at the latest, as [`Balancer::handle`] counts time: a repeat that is
+        /// sent later may run again. `None` for one that may be sent at any time.
         ///
         /// [`Balancer::handle`]: crate::Balancer::handle
         send_by: Option<Nanos>,
@@ -501,7 +501,7 @@
     }
 }
 
-/// One decision of slow start with the figures that it rests on. Work is in nanoseconds of expected time.
+/// One decision of slow start with the figures that it rests on. Work is in requests of mean work.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SlowStartDecision {
     /// The backend that is warming up.
@@ -510,12 +510,12 @@
     pub age: Nanos,
     /// Part of its capacity that it is held to have, 0 to 1.
     pub ramp: f64,
-    /// What this node now serves for each unit of used capacity in the zone, in work a second.
-    pub sample: f64,
-    /// The same as the node remembers it.
+    /// What a unit of warm capacity in the zone serves to this node, in work a second.
     pub estimate: f64,
-    /// What it is held to serve of a warm peer's capacity, in work a second.
-    pub capacity: f64,
+    /// What the budget is drawn from by that estimate, in work a second.
+    pub measured: f64,
+    /// What it is drawn from at least, in work a second: the node's part of one request at a time.
+    pub least: f64,
     /// Delay of this backend's answers against the expected one.
     pub slowness: f64,
     /// What multiplies the budget for answers that came sooner than the ramp implies.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -90,13 +90,18 @@
 /// How far one list moves a backend's lasting share, and the bounds of that share.
 const BIAS_STEP: f64 = 0.15;
 const BIAS: (f64, f64) = (0.1, 4.0);
-/// Part of the cold budget that nodes together use, and what multiplies it at most once a cold backend has
-/// proved itself; the rest is for chance and for late figures.
-const COLD_SHARE: f64 = 0.4;
+/// Part of what a cold backend takes that all nodes together use by what they have measured, what multiplies
+/// it at most once it has proved itself, and the part that they use unmeasured: together no more than the
+/// whole.
+const COLD_MEASURED: f64 = 0.4;
 const COLD_PROVEN: f64 = 2.0;
-/// Parts by which the measured capacity rises and falls in a refresh: in about 2 s, and in a minute.
-const CAPACITY_RISE: f64 = 0.05;
-const CAPACITY_FALL: f64 = 0.002;
+const COLD_UNMEASURED: f64 = 0.2;
+/// Time constant of the measured capacity: longer than a load report errs, shorter than a fleet keeps its
+/// shape.
+const CAPACITY_SMOOTHING: Nanos = 10 * SECOND;
+/// A backend that is used less counts as used so much: the less it is, the more an error of the report
+/// weighs.
+const LEAST_USED: f64 = 0.5;
 /// Weight of a request in its class's mean cost.
 const COST_SMOOTHING: f64 = 0.01;
 /// First wait after a failed call to discovery; doubled up to 2^3, jittered: with the call's own time, what a
@@ -224,6 +229,7 @@
         let view = &mut self.classes[class];
         let cost = arrival.hint.map_or(view.base * IDLE_LOAD, |hint| hint as f64).max(1.0);
         view.cost += (cost - view.cost) * if view.cost > 0.0 { COST_SMOOTHING } else { 1.0 };
+        self.mean_cost += (cost - self.mean_cost) * if self.mean_cost > 0.0 { COST_SMOOTHING } else { 1.0 };
         // A try well shorter than others ends with the client's deadline: that tells when its first try came,
         // and the aim counts from then. Arrivals jitter, so a little shorter is no sign. Where repeats
         // are marked the rest are first tries: repeats may get more time, which made those look late.
@@ -348,7 +354,9 @@
         let (class, aim_end, zone) = (request.class, request.aim_end, backend.member.zone);
         self.zones.get_mut(zone.0 as usize).into_iter().for_each(|view| view.sent_at = self.now);
         if let Some(decision) = slow_start {
-            backend.cold_sends.push_back((self.now, request.cold_cost));
+            let since = self.now.saturating_sub(self.settings.rules.fall_span + self.settings.quantum);
+            backend.cold_sends.retain(|(at, _)| *at >= since);
+            backend.cold_sends.push_back((self.now, decision.cost));
             actions.push(Action::Log(Note::SlowStart(decision)));
         }
         if let Health::Ejected { .. } = backend.health {
@@ -422,7 +430,7 @@
         let (to, load, zone, sent) = (attempt.backend, attempt.load, attempt.zone, attempt.sent);
         let open = request.phase != Phase::Ended;
         self.count_own(zone, -1.0);
-        self.learn(to, class, cost, load, &settled);
+        self.learn(to, class, self.mean_parts(cost), load, &settled);
         self.judge(to, &settled, actions);
         self.report(to, settled.report);
         self.resize(zone, &settled, class, aim_end < sent + self.settings.classes[class].aim / 2);
@@ -785,32 +793,37 @@
 
     // 6. Slow start.
 
-    /// What this node serves of each unit of used capacity, by zone, so that the shares of all nodes add up
-    /// to one capacity. It falls slowly: in a jam little is served, and cold backends are the way out of it.
+    /// Measures what this node is served by each unit of warm capacity, by zone. Only sums of what was
+    /// counted go in, smoothed alike up and down: so the figures of all nodes add up to what the servers do,
+    /// whoever counts when. A node's best moment would not: clients move, and each node would remember them
+    /// as its own.
     fn measure_capacity(&mut self) {
-        let mut sums = vec![(0.0, 0.0); self.zones.len()];
         let (now, rules) = (self.now, &self.settings.rules);
+        let weight = 1.0 - decay(now.saturating_sub(self.measured_at), CAPACITY_SMOOTHING);
+        self.measured_at = now;
+        let mut sums = vec![(0.0, 0.0, 0.0); self.zones.len()];
         // Where no report tells the used part, all of it counts: what is served can surely be done.
         let silent =
             !self.told_util() || !self.backends.values().any(|b| b.util.younger_than(now, UTIL_TRUST));
-        let warm =
-            |b: &&Backend| b.ramp(now, rules) >= 1.0 && (silent || b.util.younger_than(now, UTIL_TRUST));
+        let warm = |b: &&Backend| b.member.stage == Stage::InService && b.ramp(now, rules) >= 1.0;
         for peer in self.backends.values().filter(warm) {
             if let Some(sum) = sums.get_mut(peer.member.zone.0 as usize) {
-                let used = if silent { 1.0 } else { peer.util.value.max(0.05) };
-                *sum = (sum.0 + peer.served.now(now), sum.1 + peer.size() * used);
+                let told = !silent && peer.util.younger_than(now, UTIL_TRUST);
+                let used = if told { peer.util.value.clamp(LEAST_USED, 1.0) } else { 1.0 };
+                *sum = (sum.0 + peer.served.now(now), sum.1 + peer.size() * used, sum.2 + peer.size());
             }
         }
-        let unit = |(served, used): (f64, f64)| if used > 0.0 { served / used } else { 0.0 };
-        let all = unit(sums.iter().fold((0.0, 0.0), |all, sum| (all.0 + sum.0, all.1 + sum.1)));
-        for (zone, sum) in self.zones.iter_mut().zip(sums) {
-            zone.capacity_sample = unit(sum);
-            let change = unit(sum).max(all / f64::from(self.settings.nodes)) - zone.capacity;
-            zone.capacity += change * if change > 0.0 { CAPACITY_RISE } else { CAPACITY_FALL };
+        for (zone, (served, used, size)) in self.zones.iter_mut().zip(sums) {
+            // While none is warm there, what was measured before stands.
+            if size > 0.0 {
+                zone.served += (served / size - zone.served) * weight;
+                zone.used += (used / size - zone.used) * weight;
+            }
         }
     }
 
-    /// Whether this node's share of a cold backend's budget has room; none for a warm one.
+    /// Whether this node's part of a cold backend's budget has room; none for a warm one. The parts of all
+    /// nodes, of every zone, add up to what the backend surely takes.
     fn slow_start(&self, backend: &Backend, request: &Request) -> Option<SlowStartDecision> {
         let rules = &self.settings.rules;
         let ramp = backend.ramp(self.now, rules);
@@ -819,27 +832,28 @@
         }
         let since = self.now.saturating_sub(rules.fall_span + self.settings.quantum);
         let spent: f64 = backend.cold_sends.iter().filter(|(at, _)| *at >= since).map(|send| send.1).sum();
-        let span = rules.fall_span as f64 / SECOND as f64;
-        // Only nodes with it in their subset send there, and these divide the budget.
+        let cost = self.mean_parts(request.cold_cost);
         let zone = self.zones.get(backend.member.zone.0 as usize).copied().unwrap_or_default();
-        // The nodes of all other zones together get as much as those of its own, and not a try each.
+        // Where nodes are many, only those with it in their subset send there, and these divide the budget;
+        // and the nodes of all other zones together get as much as those of its own.
         let own = !self.many() || backend.member.zone == self.settings.home;
         let users = self.reach(backend.member.zone) * if own { 1.0 } else { f64::from(self.settings.zones) };
-        // Whatever the others carry: one request at a time is a second of work in a second.
-        let capacity = (zone.capacity * backend.size()).max(SECOND as f64 / self.crowd()) / users;
+        let estimate = zone.served / zone.used.max(LEAST_USED);
         // One that answers sooner than its ramp implies has room: what it was held to carry was too low.
-        let (least, most) = if own { (1.0 / self.crowd(), COLD_PROVEN) } else { (0.0, 1.0) };
+        let most = if own { COLD_PROVEN } else { 1.0 };
         let proven = (1.0 / (ramp * backend.slowness(self.now, rules))).clamp(1.0, most);
-        let budget = COLD_SHARE * proven * rules.tip_multiple * ramp * capacity * span;
-        // A budget under one request is spent by chance, or many nodes' first sends would exceed it together;
-        // one of a zone's nodes or so always tries, as no figure may come from elsewhere.
-        let epoch = self.now / rules.fall_span.max(1);
-        let lot = mix(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as f64 / u64::MAX as f64;
+        let measured = COLD_MEASURED * proven * estimate * backend.size() / users;
+        // Whatever the others carry: it works on one request at a time, and every node that may send has its
+        // part.
+        let sharing = if self.many() { self.crowd() * users } else { f64::from(self.settings.nodes) };
+        let least = COLD_UNMEASURED * self.mean_parts(SECOND as f64) / sharing;
+        let span = rules.fall_span as f64 / SECOND as f64;
+        let budget = rules.tip_multiple * ramp * span * measured.max(least);
         let branch = if self.many() && backend.lot > zone.subset {
             SlowStartBranch::OutsideSubset
-        } else if spent + request.cold_cost <= budget {
+        } else if spent + cost <= budget {
             SlowStartBranch::WithinBudget
-        } else if spent == 0.0 && lot <= (budget / request.cold_cost).max(least) {
+        } else if spent == 0.0 && self.is_trial(backend, budget / cost, own) {
             SlowStartBranch::Trial
         } else {
             SlowStartBranch::OverBudget
@@ -848,19 +862,39 @@
             backend: backend.member.backend,
             age: backend.member.online_since.map_or(0, |since| self.now.saturating_sub(since)),
             ramp,
-            sample: zone.capacity_sample,
-            estimate: zone.capacity,
-            capacity,
+            estimate,
+            measured,
+            least,
             slowness: backend.slowness(self.now, rules),
             proven,
             budget,
             spent,
-            cost: request.cold_cost,
+            cost,
             branch,
             refusals: 0,
         })
     }
 
+    /// Whether chance lets this node send one in this span, with a budget of only a part of a request: all
+    /// nodes would exceed it together with their first sends. Of a zone's nodes, or of all where they are
+    /// few, one or so always tries, as no figure may come from elsewhere.
+    fn is_trial(&self, backend: &Backend, part: f64, own: bool) -> bool {
+        let least = match own {
+            true if self.many() => 1.0 / self.crowd(),
+            true => 1.0 / f64::from(self.settings.nodes),
+            false => 0.0,
+        };
+        let epoch = self.now / self.settings.rules.fall_span.max(1);
+        let lot = mix(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as f64 / u64::MAX as f64;
+        lot <= part.max(least)
+    }
+
+    /// Work in requests of mean work: what the nodes learn of the time that a request takes moves with the
+    /// load, and would stretch what was measured before.
+    fn mean_parts(&self, work: f64) -> f64 {
+        work / self.mean_cost.max(1.0)
+    }
+
     /// Logs what slow start has kept back, one line a backend, and which backends have become warm.
     fn note_slow_start(&mut self, actions: &mut Vec<Action>) {
         let rules = &self.settings.rules;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a node keeps: smoothed figures, its requests, and its views of backends, zones and classes.
-//! Plain data and arithmetic that know nothing of what decides on them: every decision is in `choice.rs` and `zones.rs`.
+//! Plain data and arithmetic that know nothing of what decides on them: every decision is in `choice.rs` and
+//! `zones.rs`.
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
@@ -175,7 +176,8 @@
     /// Own attempts out there, now and smoothed.
     pub(crate) own: f64,
     pub(crate) own_load: Smooth,
-    /// Most own attempts out there: by the list, and by what came back once anything has. Below 1 they are paced.
+    /// Most own attempts out there: by the list, and by what came back once anything has. Below 1 they are
+    /// paced.
     pub(crate) window_start: f64,
     pub(crate) window: Option<f64>,
     pub(crate) sent_at: Nanos,
@@ -186,9 +188,10 @@
     pub(crate) listed: f64,
     pub(crate) size: f64,
     pub(crate) subset: u64,
-    /// What this node serves there of each unit of used capacity, and its last sample.
-    pub(crate) capacity: f64,
-    pub(crate) capacity_sample: f64,
+    /// What this node is served by each unit of warm capacity there, in requests of mean work a second, and
+    /// the used part of that capacity; smoothed alike.
+    pub(crate) served: f64,
+    pub(crate) used: f64,
     /// Share of the requests that spill, where nodes are many.
     pub(crate) spill: f64,
     pub(crate) least_elapsed: Option<f64>,
@@ -252,6 +255,10 @@
     pub(crate) subsets: Vec<Vec<BackendId>>,
     pub(crate) zones: Vec<Zone>,
     pub(crate) classes: Vec<ClassView>,
+    /// Work of a request on the mean over all classes, in nanoseconds.
+    pub(crate) mean_cost: f64,
+    /// When the zones' capacity was last measured.
+    pub(crate) measured_at: Nanos,
     /// When any backend's utilisation was last told.
     pub(crate) util_at: Option<Nanos>,
     /// Requests of each tenant, and the share of those over their shares that is taken.
@@ -279,7 +286,7 @@
     /// A node that knows nothing yet. `seed` drives its jitter.
     pub fn new(settings: Settings, seed: u64, now: Nanos) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let zones = vec![Zone { taken: 1.0, ..Zone::default() }; settings.zones as usize];
+        let zones = vec![Zone { taken: 1.0, used: 1.0, ..Zone::default() }; settings.zones as usize];
         let view = |class: &ClassSettings| ClassView {
             base: class.aim as f64 / 16.0,
             room: f64::INFINITY,
@@ -302,6 +309,8 @@
             subsets: vec![Vec::new(); zones.len()],
             zones,
             classes,
+            mean_cost: 0.0,
+            measured_at: now,
             util_at: None,
             overflow: Vec::new(),
             qualified: 0,
