Use a quarter of the rule's chance in slow start, and measure capacity over 3 s

Change: every node has its part of a quarter of what the rule leaves for chance, root of N by a surely low N; where nodes are many, a zone's own have half of the unmeasured part, all others half. Measured part 0.45 (2.2 times that at most where proven: the whole), over 3 s.

--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -352,6 +352,7 @@
                     estimate = rounded(decision.estimate),
                     measured = rounded(decision.measured),
                     least = rounded(decision.least),
+                    chance = rounded(decision.chance),
                     slow_percent = (100.0 * decision.slowness).round(),
                     proven_percent = (100.0 * decision.proven).round(),
                     budget = rounded(decision.budget),
--- a/src/api.rs
+++ b/src/api.rs
@@ -514,8 +514,10 @@
     pub estimate: f64,
     /// What the budget is drawn from by that estimate, in work a second.
     pub measured: f64,
-    /// What it is drawn from at least, in work a second: the node's part of one request at a time.
+    /// The least budget, drawn from the node's part of one request at a time.
     pub least: f64,
+    /// What the budget is raised by: the node's part of the chance that the rule leaves.
+    pub chance: f64,
     /// Delay of this backend's answers against the expected one.
     pub slowness: f64,
     /// What multiplies the budget for answers that came sooner than the ramp implies.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -90,15 +90,17 @@
 /// How far one list moves a backend's lasting share, and the bounds of that share.
 const BIAS_STEP: f64 = 0.15;
 const BIAS: (f64, f64) = (0.1, 4.0);
-/// Part of what a cold backend takes that all nodes together use by what they have measured, what multiplies
-/// it at most once it has proved itself, and the part that they use unmeasured: together no more than the
-/// whole.
-const COLD_MEASURED: f64 = 0.4;
-const COLD_PROVEN: f64 = 2.0;
+/// Part of what a cold backend takes that all nodes together use by what they have measured, and what
+/// multiplies it at most once it has proved itself: together the whole.
+const COLD_MEASURED: f64 = 0.45;
+const COLD_PROVEN: f64 = 2.2;
+/// The part of it that they use unmeasured, and what they use of the `root + 1` of chance that the rule leaves
+/// twice beside it: the rest is for what comes late and for draws that fall together.
 const COLD_UNMEASURED: f64 = 0.2;
-/// Time constant of the measured capacity: longer than a load report errs, shorter than a fleet keeps its
+const COLD_CHANCE: f64 = 0.5;
+/// Time constant of the measured capacity: some reports long, and short against a fleet that changes its
 /// shape.
-const CAPACITY_SMOOTHING: Nanos = 10 * SECOND;
+const CAPACITY_SMOOTHING: Nanos = 3 * SECOND;
 /// A backend that is used less counts as used so much: the less it is, the more an error of the report
 /// weighs.
 const LEAST_USED: f64 = 0.5;
@@ -834,21 +836,23 @@
         let spent: f64 = backend.cold_sends.iter().filter(|(at, _)| *at >= since).map(|send| send.1).sum();
         let cost = self.mean_parts(request.cold_cost);
         let zone = self.zones.get(backend.member.zone.0 as usize).copied().unwrap_or_default();
-        // Where nodes are many, only those with it in their subset send there, and these divide the budget;
-        // and the nodes of all other zones together get as much as those of its own.
+        let span = rules.fall_span as f64 / SECOND as f64;
         let own = !self.many() || backend.member.zone == self.settings.home;
-        let users = self.reach(backend.member.zone) * if own { 1.0 } else { f64::from(self.settings.zones) };
         let estimate = zone.served / zone.used.max(LEAST_USED);
         // One that answers sooner than its ramp implies has room: what it was held to carry was too low.
         let most = if own { COLD_PROVEN } else { 1.0 };
         let proven = (1.0 / (ramp * backend.slowness(self.now, rules))).clamp(1.0, most);
-        let measured = COLD_MEASURED * proven * estimate * backend.size() / users;
-        // Whatever the others carry: it works on one request at a time, and every node that may send has its
-        // part.
-        let sharing = if self.many() { self.crowd() * users } else { f64::from(self.settings.nodes) };
-        let least = COLD_UNMEASURED * self.mean_parts(SECOND as f64) / sharing;
-        let span = rules.fall_span as f64 / SECOND as f64;
-        let budget = rules.tip_multiple * ramp * span * measured.max(least);
+        // Where nodes are many, only those with it in their subset send there, and these divide what all
+        // measure.
+        let reach = self.reach(backend.member.zone);
+        let measured = COLD_MEASURED * proven * estimate * backend.size() / reach;
+        // Whatever the others carry, it works on one request at a time. Every node that may send has its part
+        // of that, and of the chance that the rule leaves beside it.
+        let surely = rules.tip_multiple * ramp * span * self.mean_parts(SECOND as f64);
+        let part = self.part_of_all(own) / reach;
+        let least = COLD_UNMEASURED * surely * part;
+        let chance = COLD_CHANCE * (surely.sqrt() + 1.0) * part;
+        let budget = (rules.tip_multiple * ramp * span * measured).max(least) + chance;
         let branch = if self.many() && backend.lot > zone.subset {
             SlowStartBranch::OutsideSubset
         } else if spent + cost <= budget {
@@ -865,6 +869,7 @@
             estimate,
             measured,
             least,
+            chance,
             slowness: backend.slowness(self.now, rules),
             proven,
             budget,
@@ -875,10 +880,23 @@
         })
     }
 
-    /// Whether chance lets this node send one in this span, with a budget of only a part of a request: all
-    /// nodes would exceed it together with their first sends. Of a zone's nodes, or of all where they are
-    /// few, one or so always tries, as no figure may come from elsewhere.
-    fn is_trial(&self, backend: &Backend, part: f64, own: bool) -> bool {
+    /// This node's part of what all nodes may send to a backend whatever they have measured: as much as any
+    /// other's where nodes are few, as each of them sends to every zone. Where they are many, those of its
+    /// own zone have one half, those of all other zones the other.
+    fn part_of_all(&self, own: bool) -> f64 {
+        let (nodes, zone_nodes) = (f64::from(self.settings.nodes), self.crowd());
+        let other_nodes = nodes - zone_nodes;
+        match self.many() && other_nodes >= 1.0 {
+            false => 1.0 / nodes,
+            true if own => 0.5 / zone_nodes,
+            true => 0.5 / other_nodes,
+        }
+    }
+
+    /// Whether chance lets this node send one in this span, on a budget of this part of a request: all nodes
+    /// would exceed theirs together with their first sends. Of a zone's nodes, or of all where they are few,
+    /// one or so always tries, as no figure may come from elsewhere.
+    fn is_trial(&self, backend: &Backend, budget: f64, own: bool) -> bool {
         let least = match own {
             true if self.many() => 1.0 / self.crowd(),
             true => 1.0 / f64::from(self.settings.nodes),
@@ -886,7 +904,7 @@
         };
         let epoch = self.now / self.settings.rules.fall_span.max(1);
         let lot = mix(backend.lot ^ epoch.wrapping_mul(0x9e37_79b9_7f4a_7c15)) as f64 / u64::MAX as f64;
-        lot <= part.max(least)
+        lot <= budget.max(least)
     }
 
     /// Work in requests of mean work: what the nodes learn of the time that a request takes moves with the
