--- a/src/choice.rs
+++ b/src/choice.rs
@@ -94,8 +94,8 @@
 /// multiplies it at most once it has proved itself: together the whole.
 const COLD_MEASURED: f64 = 0.45;
 const COLD_PROVEN: f64 = 2.2;
-/// The part of it that they use unmeasured, and what they use of the `root + 1` of chance that the rule leaves
-/// twice beside it: the rest is for what comes late and for draws that fall together.
+/// The part of it that they use unmeasured, and what they use of the `root + 1` of chance that the rule
+/// leaves twice beside it: the rest is for what comes late and for draws that fall together.
 const COLD_UNMEASURED: f64 = 0.2;
 const COLD_CHANCE: f64 = 0.5;
 /// Time constant of the measured capacity: some reports long, and short against a fleet that changes its
