Part the decisions into modules: slow start, health, retries, admission, zones, discovery

Change: a move only, names and bodies as they were: request_ledger, admission, concurrency, retries, zone_choice, pick, slow_start, health, discovery, with backend_view and crowding for figures that several read; choice.rs keeps the turn of events.

--- /dev/null
+++ b/src/backend_view.rs
@@ -0,0 +1,92 @@
+//! What a node learns of each backend: load, slowness and expected delay.
+//!
+//! Not for decisions: these read the figures.
+
+use crate::api::*;
+use crate::crowding::SHARED_VIEW;
+use crate::state::*;
+
+/// Time constant of a backend's smoothed utilisation: some report periods.
+pub(crate) const UTIL_SMOOTHING: Nanos = 400 * MS;
+/// A utilisation older than this says nothing; a zone with no younger one counts as unseen.
+pub(crate) const UTIL_TRUST: Nanos = 4 * SECOND;
+/// Time constant of a backend's slowness: tens of answers, yet within a neighbour's seconds on and off.
+const SLOW_SMOOTHING: Nanos = SECOND;
+/// An unused backend's slowness is forgotten with this time constant, so that it is tried again.
+pub(crate) const SLOW_FORGET: Nanos = 3 * SECOND;
+/// Samples over which a class's base time is learned; slow against a day's troubles.
+const BASE_SAMPLES: f64 = 400.0;
+/// Weight of a sample above the base time against one below it.
+const BASE_RISE: f64 = 0.4;
+/// Load of an idle backend in the expected delay, in own requests: the part of a request's time that passes
+/// in waits no queue lengthens. Too small, a crowded backend teaches a base time that no idle one can reach.
+pub(crate) const IDLE_LOAD: f64 = 2.0;
+/// One observation counts at most this many times the expectation: single expensive requests are chance.
+const SLOW_CLAMP: f64 = 6.0;
+
+impl Backend {
+    /// Load in requests for each unit of size: own ones, times the nodes that do alike; where these are
+    /// many, what all nodes have been told.
+    pub(crate) fn load(&self, crowd: f64) -> f64 {
+        let own = f64::from(self.in_flight) / self.size();
+        match self.held {
+            Some(held) if crowd > SHARED_VIEW => IDLE_LOAD + held.max(own),
+            None if crowd > SHARED_VIEW => IDLE_LOAD + own,
+            _ => IDLE_LOAD + crowd * own,
+        }
+    }
+
+    /// Slowness against the fleet's mean, forgotten towards what its ramp implies.
+    pub(crate) fn slowness(&self, now: Nanos, rules: &RuleFigures) -> f64 {
+        let prior = 1.0 / self.ramp(now, rules);
+        let Some(at) = self.slow.at else { return prior };
+        prior + (self.slow.value - prior) * decay(now.saturating_sub(at), SLOW_FORGET)
+    }
+}
+
+impl Balancer {
+    /// How long an answer from there should take, in nanoseconds.
+    pub(crate) fn expected_delay(&self, backend: &Backend, class: usize) -> f64 {
+        let slowness = backend.slowness(self.now, &self.settings.rules);
+        slowness * backend.load(self.crowd()) * self.classes[class].base
+    }
+
+    /// Takes a load report in; figures that are not finite or not possible are passed over.
+    pub(crate) fn report(&mut self, id: BackendId, report: Report) {
+        let Some(backend) = self.backends.get_mut(&id) else { return };
+        if let Some(util) = report.util.filter(|util| util.is_finite() && *util >= 0.0) {
+            backend.util.feed(self.now, util.min(1.5), UTIL_SMOOTHING, 0.05);
+            self.util_at = Some(self.now);
+        }
+    }
+
+    /// Whether any utilisation at all is young enough to say something.
+    pub(crate) fn told_util(&self) -> bool {
+        self.util_at.is_some_and(|at| self.now.saturating_sub(at) < UTIL_TRUST)
+    }
+
+    /// Learns slowness, base time and served rate from one outcome.
+    pub(crate) fn learn(&mut self, id: BackendId, class: usize, cost: f64, load: f64, settled: &Settlement) {
+        let Some(backend) = self.backends.get_mut(&id) else { return };
+        backend.in_flight = backend.in_flight.saturating_sub(1);
+        let view = &mut self.classes[class];
+        let unit = settled.elapsed as f64 / load;
+        let slow = (unit / view.base.max(1.0)).min(SLOW_CLAMP * backend.slow.value.max(1.0));
+        // No answer at all tells of a delay of at least the time waited.
+        let longer = settled.outcome == Outcome::TimedOut && slow > backend.slow.value;
+        if settled.outcome == Outcome::Served || longer {
+            backend.slow.feed(self.now, slow, SLOW_SMOOTHING, 0.1);
+        }
+        if settled.outcome == Outcome::Served {
+            backend.served.add(self.now, cost);
+            view.samples = (view.samples + 1.0).min(BASE_SAMPLES);
+            // Rises slowly, so that a jam does not come to pass for the normal state.
+            let weight = if unit > view.base && view.samples > 50.0 { BASE_RISE } else { 1.0 };
+            view.base += (unit.min(SLOW_CLAMP * view.base) - view.base) * weight / (view.samples + 4.0);
+            if let Some(zone) = self.zones.get_mut(backend.member.zone.0 as usize) {
+                let elapsed = settled.elapsed as f64;
+                zone.least_elapsed = Some(zone.least_elapsed.map_or(elapsed, |least| least.min(elapsed)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/crowding.rs
@@ -0,0 +1,23 @@
+//! How many nodes share the backends: where they are many, own figures say little of these.
+
+use crate::api::*;
+use crate::state::*;
+
+/// With more nodes a zone than this, own requests in flight say nothing of a backend's load: the pick then
+/// goes by what the list or the reports tell all nodes, and by chance.
+pub(crate) const SHARED_VIEW: f64 = 8.0;
+/// Backends of a zone that one of many nodes uses as long as one of them can take the request.
+pub(crate) const SUBSET: usize = 4;
+
+impl Balancer {
+    /// Whether so many nodes share the backends that own figures say little of these.
+    pub(crate) fn many(&self) -> bool {
+        self.crowd() > SHARED_VIEW
+    }
+
+    /// The part of a zone's backends that a node keeps to.
+    pub(crate) fn reach(&self, zone: ZoneId) -> f64 {
+        let listed = self.zones.get(zone.0 as usize).map_or(0.0, |zone| zone.listed);
+        if self.many() { (SUBSET as f64 / listed.max(1.0)).min(1.0) } else { 1.0 }
+    }
+}
--- /dev/null
+++ b/src/discovery.rs
@@ -0,0 +1,116 @@
+//! Discovery: what a list of backends changes, and when it is asked for again.
+
+use std::collections::BTreeSet;
+
+use crate::api::*;
+use crate::backend_view::UTIL_SMOOTHING;
+use crate::concurrency::WINDOW_START;
+use crate::crowding::SUBSET;
+use crate::state::*;
+
+/// Least and most that one late figure moves a backend's share of the picks.
+const RESPONSE: (f64, f64) = (0.1, 2.0);
+/// How far one list moves a backend's lasting share, and the bounds of that share.
+const BIAS_STEP: f64 = 0.15;
+const BIAS: (f64, f64) = (0.1, 4.0);
+/// First wait after a failed call to discovery; doubled up to 2^3, jittered: with the call's own time, what a
+/// silent call missed comes within the 6 s after which it counts as told.
+const ASK_AGAIN: Nanos = 300 * MS;
+
+impl Balancer {
+    pub(crate) fn fleet(&mut self, scope: ListScope, members: Vec<Member>) {
+        if scope != ListScope::Cached {
+            self.ask_failures = 0;
+        }
+        if scope != ListScope::Changes {
+            let named: BTreeSet<BackendId> = members.iter().map(|member| member.backend).collect();
+            for backend in self.backends.values_mut().filter(|b| !named.contains(&b.member.backend)) {
+                backend.member.stage = Stage::Gone;
+            }
+        }
+        let live = self.settings.weights == Weights::Live;
+        for member in members.iter().filter(|member| live && member.size.is_finite()) {
+            let known = self.kind_size.entry(member.kind).or_insert(0.0);
+            *known = known.max(member.size);
+        }
+        for mut member in members {
+            let told = member.size;
+            if live {
+                member.size = self.kind_size.get(&member.kind).copied().unwrap_or(1.0);
+            }
+            let backend = self.backends.entry(member.backend).or_insert_with(|| Backend::new(member));
+            if backend.member.online_since != member.online_since {
+                let in_flight = backend.in_flight;
+                *backend = Backend { in_flight, ..Backend::new(member) };
+            }
+            backend.member = member;
+            backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
+            backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
+        }
+        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
+        self.members.iter_mut().chain(&mut self.subsets).for_each(Vec::clear);
+        for (&id, backend) in &self.backends {
+            self.members.get_mut(backend.member.zone.0 as usize).into_iter().for_each(|ids| ids.push(id));
+        }
+        for (zone, view) in self.zones.iter_mut().enumerate() {
+            let all = || self.members[zone].iter().filter_map(|id| Some((*id, self.backends.get(id)?)));
+            let listed = || all().map(|(_, b)| b).filter(|b| b.member.stage == Stage::InService);
+            let mut lots: Vec<u64> = listed().map(|b| b.lot).collect();
+            lots.sort_unstable();
+            view.listed = lots.len() as f64;
+            view.size = listed().map(Backend::size).sum();
+            view.subset = lots.get(SUBSET - 1).copied().unwrap_or(u64::MAX);
+            self.subsets[zone].extend(all().filter(|(_, b)| b.lot <= view.subset).map(|(id, _)| id));
+        }
+        // Before anything has come back a zone is expected to be asked for as much as any other, whatever its
+        // size, and by the nodes of all others together no more than by its own.
+        let zones = f64::from(self.settings.zones);
+        let mean = (self.zones.iter().map(|zone| zone.size).sum::<f64>() / zones).max(1e-9);
+        for (zone, view) in self.zones.iter_mut().enumerate() {
+            let users = if zone == self.settings.home.0 as usize { 1.0 } else { zones };
+            view.window_start = WINDOW_START * view.size / mean / users;
+        }
+        if live && scope != ListScope::Cached {
+            self.interpret();
+        }
+    }
+
+    /// What a list's live weights say, which reach all nodes alike and late. A backend's share of the picks
+    /// moves by what evens out the figures over the arrivals of about the time until the next ones show
+    /// (load interpretation), no more, or all nodes would herd; what lasts is learned in small steps.
+    pub(crate) fn interpret(&mut self) {
+        let period = self.listed_at.map_or(1.0, |at| self.now.saturating_sub(at) as f64 / SECOND as f64);
+        self.list_period += (period.min(3.0) - self.list_period) * 0.2;
+        self.listed_at = Some(self.now);
+        let mut sums = vec![(0.0, 0.0, 0.0); self.zones.len()];
+        for backend in self.backends.values().filter(|b| b.member.stage == Stage::InService) {
+            if let (Some(sum), Some(held)) = (sums.get_mut(backend.member.zone.0 as usize), backend.held) {
+                *sum = (sum.0 + 1.0, sum.1 + held, sum.2 + backend.size());
+            }
+        }
+        let arrivals = self.asked() * self.crowd() * 2.0 * self.list_period;
+        self.zones.iter_mut().zip(&sums).for_each(|(zone, sum)| zone.held = sum.1 / f64::max(sum.0, 1.0));
+        for backend in self.backends.values_mut() {
+            let (Some(&(count, total, size)), Some(held)) =
+                (sums.get(backend.member.zone.0 as usize), backend.held)
+            else {
+                continue;
+            };
+            // A slow machine should hold less for the same delay.
+            let mean = ((total + count) / f64::max(size, 1e-9) * backend.size() - 1.0).max(0.2);
+            let coming = (arrivals * backend.size() / f64::max(size, 1e-9)).max(1.0);
+            backend.response = (1.0 + (mean - held) / coming).clamp(RESPONSE.0, RESPONSE.1);
+            let step = BIAS_STEP * (mean - held) / (mean + 1.0).max(held);
+            backend.bias = (backend.bias * step.exp()).clamp(BIAS.0, BIAS.1);
+            backend.util.feed(self.now, held / (1.0 + held), UTIL_SMOOTHING, 0.05);
+            self.util_at = Some(self.now);
+        }
+        self.share_out();
+    }
+
+    pub(crate) fn ask_later(&mut self) {
+        let wait = (ASK_AGAIN << self.ask_failures.min(3)) as f64 * (0.75 + 0.5 * self.draw());
+        self.ask_failures += 1;
+        self.ask_at = Some(self.now + wait as Nanos);
+    }
+}
--- /dev/null
+++ b/src/health.rs
@@ -0,0 +1,79 @@
+//! Outlier ejection: a backend that fails is left out for a while and readmitted by trials.
+
+use crate::api::*;
+use crate::state::*;
+
+/// Failures in a row (a broken or refused connection counts double) that make an outlier.
+const EJECT_AFTER: u32 = 6;
+/// A connection that was not refused by then is to a machine that says nothing.
+const SILENT: Nanos = 40 * MS;
+/// First ejection; doubled each time up to 2^5.
+const EJECT_FOR: Nanos = SECOND;
+/// Wait after a backend sent work away as full; doubled up to 2^4 while it goes on.
+const FULL_FOR: Nanos = 100 * MS;
+/// At most this share of the listed backends is ejected (panic threshold).
+const EJECT_SHARE: f64 = 0.5;
+
+impl Balancer {
+    pub(crate) fn usable(&self, backend: &Backend) -> bool {
+        if self.now < backend.full_until {
+            return false;
+        }
+        match backend.health {
+            Health::Healthy => true,
+            Health::Ejected { until } => self.now >= until && backend.in_flight == 0,
+            Health::HalfOpen { .. } => backend.in_flight == 0,
+        }
+    }
+
+    /// Ejects an outlier, readmits after two served trials.
+    pub(crate) fn judge(&mut self, id: BackendId, settled: &Settlement, actions: &mut Vec<Action>) {
+        let outcome = settled.outcome;
+        let weight = match outcome {
+            Outcome::Served => 0,
+            Outcome::Error | Outcome::TimedOut | Outcome::Full => 1,
+            Outcome::ConnectFailed | Outcome::Reset => 2,
+            Outcome::Cancelled | Outcome::Moot => return,
+        };
+        let full = outcome == Outcome::ConnectFailed && self.many() && settled.elapsed < SILENT;
+        let turned_away = outcome == Outcome::Full || full;
+        let Some(backend) = self.backends.get_mut(&id) else { return };
+        // Sent away at once, again and again, a backend looks idle and would draw all traffic. With many
+        // nodes a refused connection may mean a full table as well as a dead process; a silent one does not.
+        if turned_away {
+            backend.full_until = self.now + (FULL_FOR << backend.full_in_row.min(4));
+            backend.full_in_row += 1;
+            return;
+        }
+        backend.full_in_row = 0;
+        backend.failing.feed(self.now, if weight > 0 { 1.0 } else { 0.0 }, SECOND, 0.1);
+        if weight == 0 {
+            backend.failed_in_row = 0;
+            match backend.health {
+                Health::HalfOpen { served: 0 } => backend.health = Health::HalfOpen { served: 1 },
+                Health::HalfOpen { .. } => {
+                    backend.health = Health::Healthy;
+                    backend.ejections = backend.ejections.saturating_sub(1);
+                    self.log(actions, Note::Readmitted { backend: id });
+                }
+                _ => {}
+            }
+            return;
+        }
+        backend.failed_in_row += weight;
+        let listed = self.backends.values().filter(|b| b.member.stage == Stage::InService).count() as f64;
+        let ejected = self.backends.values().filter(|b| b.health != Health::Healthy).count() as f64;
+        let failing = self.backends.values().map(|b| b.failing.value).sum::<f64>() / listed.max(1.0);
+        let Some(backend) = self.backends.get_mut(&id) else { return };
+        let outlier = backend.failed_in_row >= EJECT_AFTER && backend.failing.value > 2.0 * failing.min(0.4);
+        let failed_trial = matches!(backend.health, Health::HalfOpen { .. });
+        let room = ejected + 1.0 <= listed * EJECT_SHARE;
+        if failed_trial || (outlier && room && backend.health == Health::Healthy) {
+            let span = EJECT_FOR << backend.ejections.min(5);
+            backend.ejections += 1;
+            backend.failed_in_row = 0;
+            backend.health = Health::Ejected { until: self.now + span };
+            self.log(actions, Note::Ejected { backend: id, span, cause: outcome });
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,6 @@
 //! What a node keeps: smoothed figures, its requests, and its views of backends, zones and classes.
-//! Plain data and arithmetic that know nothing of what decides on them: every decision is in `choice.rs` and
-//! `zones.rs`.
+//! Plain data and arithmetic that know nothing of what decides on them: the modules of decisions,
+//! which the deploy file lists under `policy`, use them.
 
 use std::cell::Cell;
 use std::collections::{BTreeMap, VecDeque};
@@ -8,6 +8,7 @@
 use crate::api::*;
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
+pub(crate) const MS: Nanos = SECOND / 1000;
 /// Time constant of the node's own rates: some requests of each of many nodes, yet short against a trouble.
 const RATE_SMOOTHING: Nanos = 3 * SECOND;
 
--- /dev/null
+++ b/src/zone_choice.rs
@@ -0,0 +1,179 @@
+//! Which zone a request goes to: home while it is under the threshold, else the one other zone with
+//! the best weighted score.
+
+use crate::api::*;
+use crate::backend_view::{IDLE_LOAD, UTIL_SMOOTHING, UTIL_TRUST};
+use crate::concurrency::{WINDOW_SPREAD, WINDOW_START};
+use crate::state::*;
+
+/// Period of the overflow target's scoring: the time that a send needs to show in a report, or so.
+const REFRESH: Nanos = 100 * MS;
+/// A zone at or over this utilisation spills; above it queues grow faster than figures arrive.
+const THRESHOLD: f64 = 0.75;
+/// Weights of headroom and of latency saved in a zone's score; headroom decides unless zones are alike.
+const WEIGHT_HEADROOM: f64 = 0.7;
+const WEIGHT_LATENCY: f64 = 0.3;
+/// Part of the aim, on the mean, that a zone's load may fill before arrivals are turned away.
+const ROOM: f64 = 0.7;
+/// Part of the difference to the wanted load that one list's figures correct, in the share of the arrivals
+/// that spills and the share that is taken; and the least of the latter, so that an end of the jam is seen.
+pub(crate) const GAIN: f64 = 0.5;
+pub(crate) const LEAST_TAKEN: f64 = 0.05;
+/// Fewest arrivals for each backend until the next figures: a node that has just started has counted none.
+const LEAST_COMING: f64 = 10.0;
+
+impl Balancer {
+    /// A zone's utilisation: smoothed reports, raised by the own sends since they were made. Never lowered:
+    /// a zone reported full would look free in a moment's lull.
+    pub(crate) fn utilisation(&self, zone: ZoneId) -> Option<f64> {
+        let view = self.zones.get(zone.0 as usize).filter(|_| self.told_util())?;
+        let (mut used, mut size, own) = (0.0, 0.0, view.own);
+        let members = self.members.get(zone.0 as usize)?;
+        for backend in members.iter().filter_map(|id| self.backends.get(id)) {
+            if self.usable(backend) && backend.util.younger_than(self.now, UTIL_TRUST) {
+                used += backend.util.value * backend.size();
+                size += backend.size();
+            }
+        }
+        (size > 0.0).then(|| {
+            used / size * ((own + size) / (view.own_before(self.now, UTIL_SMOOTHING) + size)).max(1.0)
+        })
+    }
+
+    /// Scores the other zones. Those under the threshold come first, by score; an unseen zone qualifies
+    /// lowest, so that one send learns its figures.
+    pub(crate) fn refresh(&mut self, actions: &mut Vec<Action>) {
+        if self.now < self.refresh_at {
+            return;
+        }
+        self.refresh_at = self.now + REFRESH + (self.draw() * REFRESH as f64 * 0.1) as Nanos;
+        if let Some(note) = self.move_shares() {
+            self.log(actions, note);
+        }
+        self.value_classes();
+        self.measure_capacity();
+        self.note_slow_start(actions);
+        for zone in &mut self.zones {
+            // Forgotten slowly, so that a link that has become slow shows.
+            zone.least_elapsed = zone.least_elapsed.map(|least| least * 1.002);
+        }
+        let home = self.settings.home;
+        let seen = |zone: &ZoneId| self.zones[zone.0 as usize].least_elapsed;
+        let others =
+            (0..self.settings.zones).map(ZoneId).filter(|&zone| zone != home && !self.is_closed(zone));
+        let farthest = others.clone().filter_map(|zone| seen(&zone)).fold(1.0, f64::max);
+        let mut scored: Vec<(bool, f64, ZoneId)> = others
+            .map(|zone| match (self.utilisation(zone), seen(&zone)) {
+                (Some(util), latency) => {
+                    let headroom = 1.0 - util;
+                    let saved = (farthest - latency.unwrap_or(farthest)) / farthest;
+                    (util < THRESHOLD, WEIGHT_HEADROOM * headroom + WEIGHT_LATENCY * saved, zone)
+                }
+                (None, _) => (true, -10.0, zone),
+            })
+            .collect();
+        if self.many() {
+            // What came back tells the room of a zone that no report does. Nodes alike must not herd.
+            for score in scored.iter_mut().filter(|score| score.1 == -10.0) {
+                let room = self.zones[score.2.0 as usize].window().min(2.0 * WINDOW_START);
+                score.1 += room * (1.0 - WINDOW_SPREAD * self.draw());
+            }
+        }
+        let far = |zone| !self.is_near(zone);
+        scored.sort_by(|a, b| {
+            let near = far(a.2).cmp(&far(b.2));
+            b.0.cmp(&a.0).then(near).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2))
+        });
+        self.qualified = scored.iter().filter(|score| score.0).count();
+        self.overflow = scored.into_iter().map(|score| score.2).collect();
+        if self.settings.weights != Weights::Live && self.many() && self.now >= self.share_at {
+            self.share_at = self.now + SECOND;
+            for zone in 0..self.settings.zones {
+                let util = self.utilisation(ZoneId(zone)).unwrap_or(0.0).min(0.95);
+                self.zones[zone as usize].held = util / (1.0 - util);
+            }
+            self.share_out();
+        }
+        if self.many() {
+            self.admit();
+        }
+        let spilling = self.utilisation(home).is_some_and(|util| util >= THRESHOLD);
+        if std::mem::replace(&mut self.zones[home.0 as usize].spilling, spilling) != spilling {
+            let best = self.overflow.first().copied().unwrap_or(home);
+            self.log(actions, Note::Spill { home, spilling, best });
+        }
+    }
+
+    /// Where nodes are many: the share that spills, and the share of each class that is taken at all. Each
+    /// moves by what would even out the figures over the arrivals of about the time until the next ones.
+    pub(crate) fn share_out(&mut self) {
+        let home = self.settings.home;
+        let asked = self.asked();
+        let count = self.zones[home.0 as usize].listed.max(1.0);
+        let coming = (asked * self.crowd() * 2.0 * self.list_period / count).max(LEAST_COMING);
+        let wanted = THRESHOLD / (1.0 - THRESHOLD);
+        let best = self.overflow.first().filter(|_| self.qualified > 0);
+        let best = best.map(|zone| self.zones[zone.0 as usize].held);
+        // Load at which the mean unit of worth would still be answered in time.
+        let (mut worth, mut fitting) = (1e-9, 0.0);
+        for (view, class) in self.classes.iter().zip(&self.settings.classes) {
+            let weight = view.asked.now(self.now) * class.worth;
+            worth += weight;
+            fitting += weight * class.aim as f64 / view.base.max(1.0);
+        }
+        // Not under the threshold, where home serves all; one node's own times are few, hence the bounds.
+        let room = (ROOM * fitting / worth - IDLE_LOAD).clamp(wanted, 1.5 * wanted);
+        let view = &mut self.zones[home.0 as usize];
+        // A crossing has its price: the other zone must hold less by one request a core at least.
+        let spilling = view.held - best.map_or(f64::INFINITY, |best| (best + 1.0).max(wanted));
+        view.spill = (view.spill + GAIN * spilling.max(-view.held) / coming).clamp(0.0, 1.0);
+        // Home spills first; only what no zone has room for is turned away.
+        let held = best.map_or(view.held, |best| 0.5 * (view.held + best));
+        view.taken = (view.taken + GAIN * (room - held) / coming).clamp(LEAST_TAKEN, 1.0);
+    }
+
+    /// The one zone that takes what home does not.
+    pub(crate) fn target(&self) -> Option<ZoneId> {
+        self.overflow.first().copied().filter(|_| self.qualified > 0)
+    }
+
+    /// The backend for a request by the design, or none if it is better held.
+    pub(crate) fn choose(&mut self, id: RequestId) -> Option<BackendId> {
+        let home = self.settings.home;
+        // Exception: many nodes that all left an over-used zone at once would pile onto the next; so each
+        // request leaves by chance, and the share follows the excess.
+        let at_home = self.may_go(home);
+        let under = if self.many() {
+            self.draw() >= self.zones[home.0 as usize].spill
+        } else {
+            self.utilisation(home).is_none_or(|util| util < THRESHOLD)
+        };
+        let (under, over) = (at_home && under, at_home && !under);
+        if under && let Some(to) = self.pick(id, home) {
+            return Some(to);
+        }
+        let target = self.target();
+        if let Some(to) = target.filter(|&zone| self.may_go(zone)).and_then(|zone| self.pick(id, zone)) {
+            return Some(to);
+        }
+        if over && let Some(to) = self.pick(id, home) {
+            return Some(to);
+        }
+        // A full window is no reason to try one zone after the other: all nodes together would fill each.
+        if at_home && !self.roomy(home, 1.0) {
+            return None;
+        }
+        // Exception: home can take nothing in time (full, ejected, cold or empty): any zone that can. Where a
+        // subset is dead its zone may well be; past it, to all of home, only when no other zone is left.
+        let to = (0..self.overflow.len()).find_map(|at| {
+            let zone = self.overflow[at];
+            if self.may_go(zone) { self.pick(id, zone) } else { None }
+        });
+        let own = |b: &Backend| self.zones.get(b.member.zone.0 as usize).is_some_and(|z| b.lot <= z.subset);
+        let lives = |b: &Backend| b.member.stage == Stage::InService && b.health == Health::Healthy;
+        if to.is_some() || !at_home || self.backends.values().any(|b| own(b) && lives(b)) {
+            return to;
+        }
+        self.pick_among(id, home, u64::MAX)
+    }
+}
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -1,6 +1,6 @@
 //! The operator's hand on zones, and how near they lie: which zones are candidates, and what part of the
-//! requests that the design would send to a zone it may be given. Which of the candidates it is, `choice.rs`
-//! decides as ever. Without orders every zone is open and all lie in one region.
+//! requests that the design would send to a zone it may be given. Which of the candidates it is,
+//! `zone_choice.rs` decides as ever. Without orders every zone is open and all lie in one region.
 //!
 //! A share that was ordered is not reached at once: the zones that take over, and the servers of one that
 //! comes back, need time to be seen to bear it.
