Hold a shortage of this machine against no backend, and accept on past one failed connection

Cause, found on the related paths: upstream.rs connect turned every error into the backend's, so a node out of local ports, buffers or descriptors counted towards ejecting all healthy backends at once; accept waited 20 ms after any error, ECONNABORTED too, while others stood in the queue. Change: os_error.rs says whose an error is, by connect(2) and accept(2); connect has a typed error with its cause, logged at debug; a local one makes the attempt moot. rustix, which two crates here use already, names the errors in place of bare numbers.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod driver;
 mod log;
+mod os_error;
 mod registry;
 mod server;
 mod upstream;
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -17,10 +17,11 @@
 
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, Semaphore, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::sleep;
 
 use crate::driver::Node;
+use crate::os_error::is_of_one_connection;
 use crate::upstream::without_delay;
 pub use phase::Phase;
 
@@ -69,6 +70,11 @@
                     let scarcity = move || slots.available_permits() <= scarce;
                     welcome(stream, &node, (slot, Counted::new(&open)), &phase, scarcity);
                 }
+                // Others wait in the queue behind it.
+                Err(error) if is_of_one_connection(&error) => {
+                    tracing::debug!(cause = %error, "a connection ended before it was accepted");
+                    yield_now().await;
+                }
                 Err(error) => {
                     tracing::warn!(cause = %error, "accept failed");
                     sleep(ACCEPT_AGAIN).await;
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::driver::{Clock, Ending, Launch, Launcher, Node};
+use crate::os_error::is_local;
 
 /// No body is larger, either way.
 pub const MAX_BODY: usize = 64 * 1024;
@@ -58,6 +59,36 @@
     Settles(Nanos),
 }
 
+/// Why no connection to a backend came about.
+#[derive(Debug, thiserror::Error)]
+enum ConnectError {
+    /// Nobody was asked: that says nothing of the backend.
+    #[error("this machine can't open one (see its limits of descriptors, ports and buffers): {0}")]
+    Local(std::io::Error),
+    #[error("refused or unreachable: {0}")]
+    Peer(std::io::Error),
+    #[error("not up in time")]
+    Silent,
+    #[error("broken at once: {0}")]
+    Broken(#[from] hyper::Error),
+}
+
+impl From<std::io::Error> for ConnectError {
+    fn from(error: std::io::Error) -> Self {
+        if is_local(&error) { Self::Local(error) } else { Self::Peer(error) }
+    }
+}
+
+impl ConnectError {
+    /// What it means to the request: nothing was written either way.
+    fn outcome(&self) -> Outcome {
+        match self {
+            Self::Local(_) => Outcome::Moot,
+            Self::Peer(_) | Self::Silent | Self::Broken(_) => Outcome::ConnectFailed,
+        }
+    }
+}
+
 /// Connections to the backends.
 pub struct Pool {
     idle: RefCell<HashMap<Place, Vec<Idle>>>,
@@ -191,8 +222,12 @@
                         let link = self.connect(launch.endpoint, slot).await;
                         connecting.set(None);
                         match link {
-                            Some(link) => (link, true),
-                            None => return Ending::bare(Outcome::ConnectFailed),
+                            Ok(link) => (link, true),
+                            Err(error) => {
+                                let backend = launch.endpoint;
+                                tracing::debug!(%backend, cause = %error, "no connection to a backend");
+                                return Ending::bare(error.outcome());
+                            }
                         }
                     }
                 },
@@ -298,18 +333,19 @@
         (self.open.get() < self.most).then(|| Counted::new(&self.open))
     }
 
-    async fn connect(&self, endpoint: SocketAddr, counted: Counted) -> Option<Link> {
+    async fn connect(&self, endpoint: SocketAddr, counted: Counted) -> Result<Link, ConnectError> {
         let limit = Duration::from_nanos(self.links.connect_timeout);
-        let stream = timeout(limit, TcpStream::connect(endpoint)).await.ok()?.ok()?;
+        let stream = timeout(limit, TcpStream::connect(endpoint)).await.map_err(|_| ConnectError::Silent)?;
+        let stream = stream.map_err(ConnectError::from)?;
         without_delay(&stream);
-        let (link, connection) = handshake(TokioIo::new(stream)).await.ok()?;
+        let (link, connection) = handshake(TokioIo::new(stream)).await?;
         spawn_local(async move {
             let _counted = counted;
             if let Err(error) = connection.await {
                 tracing::debug!(%endpoint, cause = %error, "a connection to a backend broke");
             }
         });
-        Some(link)
+        Ok(link)
     }
 
     fn drop_stale(&self) {
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -21,6 +21,17 @@
     assert_eq!(ending.outcome, Outcome::Moot);
 }
 
+/// A node that had run out of local ports held it against every backend that it tried, and ejected healthy ones.
+#[test]
+fn a_connect_that_fails_for_want_of_our_own_blames_nobody() {
+    let outcome = |kind: std::io::ErrorKind| ConnectError::from(std::io::Error::from(kind)).outcome();
+    let errno = |errno: rustix::io::Errno| ConnectError::from(std::io::Error::from(errno)).outcome();
+    assert_eq!(errno(rustix::io::Errno::ADDRNOTAVAIL), Outcome::Moot);
+    assert_eq!(errno(rustix::io::Errno::MFILE), Outcome::Moot);
+    assert_eq!(errno(rustix::io::Errno::CONNREFUSED), Outcome::ConnectFailed);
+    assert_eq!(outcome(std::io::ErrorKind::Other), Outcome::ConnectFailed);
+}
+
 /// Requests were given up sooner than connections that never came up, and blamed nobody: a lost zone went on
 /// being tried.
 #[tokio::test]
