Date a server's life by what the node saw, and know it again when it comes back

Cause, found on the related paths: a server's age was counted from the wall clock as read at the node's start, so a node that had started with its clock an hour ahead took servers that had just come for warm, and sent them all it had; one an hour behind took them for cold for an hour. And a server told as gone and as ready again in the same life was a new one, with every node's budget anew. Change: a life lies not in the future, and one that is new to the list began no more than 6 s before discovery was last heard from; a first list is taken at its word. A name that comes back within 10 s in the same life keeps its number, and the core keeps what it was sent for the span. One test's set-up hands the present in place of 0 as the time of the list, since that is a bound now; its assertions stay.

--- a/node/src/discovery/mod.rs
+++ b/node/src/discovery/mod.rs
@@ -216,6 +216,8 @@
         let scope = if list.all { ListScope::Full } else { ListScope::Changes };
         if list.all || !list.targets.is_empty() {
             self.node.fleet(scope, list.listed());
+        } else {
+            self.node.list_unchanged();
         }
     }
 
--- a/node/src/driver/backends.rs
+++ b/node/src/driver/backends.rs
@@ -8,10 +8,18 @@
 
 use super::exchange::Listed;
 
+const NANOS_IN_MS: u64 = 1_000_000;
+/// A change of the list is told this long after it happened at the latest, while discovery can be reached.
+const NOTICE: Nanos = 6_000_000_000;
+/// So long a backend that has left keeps its number: in the same life it has been sent what it was sent.
+const KEPT_NUMBER: Nanos = 10_000_000_000;
+
 struct Known {
     uid: String,
     endpoint: SocketAddr,
     boot_ms: u64,
+    /// When it started, by the node's clock; none for long ago.
+    online_since: Option<Nanos>,
     /// When the node was told that it drains.
     draining_since: Option<Nanos>,
 }
@@ -31,12 +39,25 @@
 pub struct Backends {
     ids: HashMap<String, BackendId>,
     known: HashMap<BackendId, Known>,
+    /// Those that left of late, which are as many as the lists of [`KEPT_NUMBER`] had.
+    left: HashMap<String, Left>,
     next: u32,
+    /// When discovery was last heard from; none before its first list.
+    heard: Option<Nanos>,
+}
+
+/// A backend that has left the list.
+struct Left {
+    id: BackendId,
+    boot_ms: u64,
+    online_since: Option<Nanos>,
+    at: Nanos,
 }
 
 impl Backends {
     /// Takes a list in. [`Backends::drop_left`] ends what this begins.
     pub fn take(&mut self, scope: ListScope, list: Vec<Listed>, now: Nanos, words: &mut Words) -> Changed {
+        self.left.retain(|_, left| now.saturating_sub(left.at) < KEPT_NUMBER);
         let mut left: Vec<String> = Vec::new();
         if scope != ListScope::Changes {
             let named: HashSet<&str> = list.iter().map(|listed| listed.uid.as_str()).collect();
@@ -48,20 +69,42 @@
         let mut retired = Vec::new();
         let members =
             list.into_iter().filter_map(|listed| self.member(listed, now, words, &mut retired)).collect();
+        if scope != ListScope::Cached {
+            self.heard(now);
+        }
         Changed { members, retired, left }
     }
 
+    /// Discovery has answered, with news or without.
+    pub fn heard(&mut self, now: Nanos) {
+        self.heard = Some(now);
+    }
+
     /// Drops those that have left and tells their numbers. Under its name a backend that has gone may come
-    /// again: as a new one, since its number is not kept.
-    pub fn drop_left(&mut self, left: Vec<String>) -> impl Iterator<Item = BackendId> {
-        left.into_iter().filter_map(|uid| {
+    /// again: in the same life under the same number, if that is soon, and else as a new one.
+    pub fn drop_left(&mut self, left: Vec<String>, now: Nanos) -> impl Iterator<Item = BackendId> {
+        left.into_iter().filter_map(move |uid| {
             let id = self.ids.remove(&uid)?;
-            self.known.remove(&id);
             tracing::info!(backend = uid, "backend has left the list");
+            if let Some(Known { boot_ms, online_since, .. }) = self.known.remove(&id) {
+                self.left.insert(uid, Left { id, boot_ms, online_since, at: now });
+            }
             Some(id)
         })
     }
 
+    /// When a backend started, by this node's clock. Another machine's time is a hint, as the wall clock
+    /// may have been wrong as either was started: a life lies not in the future, and one that is new on the
+    /// list began no longer ago than the list takes to tell it. A first list tells of lives of any age.
+    fn online_since(&self, boot_ms: u64, now: Nanos) -> Option<Nanos> {
+        if boot_ms == 0 {
+            return None;
+        }
+        let told = boot_ms.saturating_mul(NANOS_IN_MS).min(now);
+        let earliest = self.heard.map_or(0, |heard| heard.saturating_sub(NOTICE));
+        Some(told.max(earliest))
+    }
+
     /// One line of a list as the module takes it; none for one that has gone and was never known.
     pub(super) fn member(
         &mut self,
@@ -71,12 +114,18 @@
         retired: &mut Vec<BackendId>,
     ) -> Option<Member> {
         let gone = listed.stage == Stage::Gone;
+        let same_life = self.left.get(&listed.uid).filter(|left| left.boot_ms == listed.boot_ms);
+        let online_since = match self.ids.get(&listed.uid).and_then(|id| self.known.get(id)) {
+            Some(known) if known.boot_ms == listed.boot_ms => known.online_since,
+            None if same_life.is_some() => same_life.and_then(|left| left.online_since),
+            _ => self.online_since(listed.boot_ms, now),
+        };
         let id = match self.ids.get(&listed.uid) {
             Some(&id) => id,
             None if gone => return None,
             None => {
-                let id = BackendId(self.next);
-                self.next += 1;
+                let id = same_life.map_or(BackendId(self.next), |left| left.id);
+                self.next += u32::from(same_life.is_none());
                 self.ids.insert(listed.uid.clone(), id);
                 id
             }
@@ -93,7 +142,7 @@
             retired.push(id);
         }
         let (uid, endpoint, boot_ms) = (listed.uid, listed.endpoint, listed.boot_ms);
-        self.known.insert(id, Known { uid, endpoint, boot_ms, draining_since });
+        self.known.insert(id, Known { uid, endpoint, boot_ms, online_since, draining_since });
         Some(Member {
             backend: id,
             zone: words.zone(&listed.zone),
@@ -101,7 +150,7 @@
             cell: listed.cell,
             stage: listed.stage,
             size: listed.size,
-            online_since: (boot_ms > 0).then(|| boot_ms.saturating_mul(1_000_000)),
+            online_since,
         })
     }
 
--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -185,6 +185,13 @@
         self.tell(|driver, errands| driver.fleet(scope, list, errands));
     }
 
+    /// Discovery has answered that nothing has changed.
+    pub fn list_unchanged(&self) {
+        let mut driver = self.driver.borrow_mut();
+        let now = driver.clock.now();
+        driver.backends.heard(now);
+    }
+
     /// Takes the fleet file's orders on zones. None is taken if one makes no sense here; the text says why.
     pub fn order(&self, fleet: &Fleet) -> Result<(), String> {
         self.tell(|driver, errands| driver.order(fleet, errands))
@@ -514,6 +521,6 @@
         let changed = self.backends.take(scope, list, now, &mut self.words);
         errands.retired.extend(changed.retired);
         self.hear(Event::Fleet { scope, members: changed.members }, errands);
-        errands.retired.extend(self.backends.drop_left(changed.left));
+        errands.retired.extend(self.backends.drop_left(changed.left, now));
     }
 }
--- a/node/src/driver/tests.rs
+++ b/node/src/driver/tests.rs
@@ -191,7 +191,8 @@
     let mut retired = Vec::new();
     let mut driver = node.driver.borrow_mut();
     let Driver { backends, words, clock, .. } = &mut *driver;
-    let mut member = |listed| backends.member(listed, 0, words, &mut retired).expect("a member");
+    let now = clock.now();
+    let mut member = |listed| backends.member(listed, now, words, &mut retired).expect("a member");
     let first = member(listed("s", Stage::InService));
     let again = Listed { boot_ms, ..listed("s", Stage::InService) };
     let second = member(again);
@@ -203,6 +204,54 @@
     assert!(kept.launches.borrow().is_empty());
 }
 
+/// What the module is told of a backend that is listed as started so long before now, or after it.
+fn online_since(node: &Node, uid: &str, boot_ms: u64) -> (BackendId, Nanos) {
+    let mut driver = node.driver.borrow_mut();
+    let Driver { backends, words, clock, .. } = &mut *driver;
+    let again = Listed { boot_ms, ..listed(uid, Stage::InService) };
+    let member = backends.take(ListScope::Changes, vec![again], clock.now(), words).members.remove(0);
+    (member.backend, member.online_since.expect("a start"))
+}
+
+/// A node whose clock was an hour ahead at its start took a server that had just come for warm, and one
+/// whose clock was behind took it for cold for an hour.
+#[test]
+fn a_new_life_is_dated_by_what_was_seen_here() {
+    let (node, _kept) = node(SECOND);
+    node.fleet(ListScope::Full, vec![listed("s", Stage::InService)]);
+    let (now, hour_ms) = (node.clock().now(), 3_600_000);
+    let (_, ahead) = online_since(&node, "new", now / 1_000_000 - hour_ms);
+    assert!(ahead >= now - 7 * SECOND, "{} s old", (now - ahead) / SECOND);
+    let (_, behind) = online_since(&node, "other", now / 1_000_000 + hour_ms);
+    assert!(behind <= node.clock().now(), "not yet started");
+    let (_, told_again) = online_since(&node, "other", now / 1_000_000 + hour_ms);
+    assert_eq!(told_again, behind, "the same life");
+}
+
+/// A first list tells of servers that started at any time.
+#[test]
+fn a_first_list_is_taken_at_its_word() {
+    let (node, _kept) = node(SECOND);
+    let boot_ms = node.clock().now() / 1_000_000 - 15_000;
+    let (_, since) = online_since(&node, "s", boot_ms);
+    assert_eq!(since, boot_ms * 1_000_000);
+}
+
+/// Told as gone and as ready again, a cold server got every node's budget anew.
+#[test]
+fn a_backend_that_comes_back_in_the_same_life_is_the_same_one() {
+    let (node, _kept) = node(SECOND);
+    let boot_ms = node.clock().now() / 1_000_000 - 500;
+    let cold = || Listed { boot_ms, ..listed("s", Stage::InService) };
+    node.fleet(ListScope::Full, vec![cold()]);
+    let id = |node: &Node| online_since(node, "s", boot_ms).0;
+    let before = id(&node);
+    node.fleet(ListScope::Changes, vec![Listed { stage: Stage::Gone, ..cold() }]);
+    assert_eq!(id(&node), before);
+    node.fleet(ListScope::Changes, vec![Listed { stage: Stage::Gone, ..cold() }]);
+    assert_ne!(online_since(&node, "s", boot_ms + 1).0, before, "another life");
+}
+
 /// Restarted nodes whose first call was turned away all called again in the same millisecond.
 #[test]
 fn a_failed_call_is_not_made_again_on_a_wish_from_before() {
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -47,7 +47,10 @@
             backend.lot = mix(self.seed ^ u64::from(member.backend.0).wrapping_mul(0xd6e8_feb8_6659_fd93));
             backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
         }
-        self.backends.retain(|_, backend| backend.member.stage != Stage::Gone || backend.in_flight > 0);
+        // One that is told as gone and ready again in the same life has been sent what it was sent.
+        let since = self.now.saturating_sub(self.settings.rules.fall_span + self.settings.quantum);
+        let spent = |backend: &Backend| backend.cold_sends.back().is_some_and(|(at, _)| *at >= since);
+        self.backends.retain(|_, b| b.member.stage != Stage::Gone || b.in_flight > 0 || spent(b));
         self.members.iter_mut().chain(&mut self.subsets).for_each(Vec::clear);
         for (&id, backend) in &self.backends {
             self.members.get_mut(backend.member.zone.0 as usize).into_iter().for_each(|ids| ids.push(id));
