Call a backend warm only when it is, and drop state of slow start that can be derived

Cause, found on reading the change again: a cold backend that began to drain was logged as warm; the refusals' count stood twice, in every backend; the start of the span was worked out in three places; a check for silent reports could never differ from the age of each report. Change: warm is logged on warmth alone; refusals of cold backends only, in one map; one function for the span; the dead check is gone. Decisions are meant to be as they were.

--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -48,7 +48,7 @@
             backend.held = (live && told > 0.0).then(|| (member.size / told - 1.0).max(0.0));
         }
         // One that is told as gone and ready again in the same life has been sent what it was sent.
-        let since = self.now.saturating_sub(self.settings.rules.fall_span + self.settings.quantum);
+        let since = self.slow_start_since();
         let spent = |backend: &Backend| backend.cold_sends.back().is_some_and(|(at, _)| *at >= since);
         self.backends.retain(|_, b| b.member.stage != Stage::Gone || b.in_flight > 0 || spent(b));
         self.members.iter_mut().chain(&mut self.subsets).for_each(Vec::clear);
--- a/src/request_ledger.rs
+++ b/src/request_ledger.rs
@@ -114,6 +114,7 @@
             return false;
         }
         let send_by = gate.and_then(|(request, backend)| self.repeat_by(request, backend));
+        let since = self.slow_start_since();
         let slow_start = gate.and_then(|(request, backend)| self.slow_start(backend, request));
         let (Some(request), Some(backend)) = (self.requests.get_mut(&id), self.backends.get_mut(&to)) else {
             return false;
@@ -131,7 +132,6 @@
         let (class, aim_end, zone) = (request.class, request.aim_end, backend.member.zone);
         self.zones.get_mut(zone.0 as usize).into_iter().for_each(|view| view.sent_at = self.now);
         if let Some(decision) = slow_start {
-            let since = self.now.saturating_sub(self.settings.rules.fall_span + self.settings.quantum);
             backend.cold_sends.retain(|(at, _)| *at >= since);
             backend.cold_sends.push_back((self.now, decision.cost));
             actions.push(Action::Log(Note::SlowStart(decision)));
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -1,8 +1,7 @@
 //! Slow start: what a node may send to a backend that has lately started.
 //!
 //! A cold backend falls when it gets more from *all* nodes than a multiple of its capacity in a span. Nodes
-//! share nothing, so each has a part of the budget; the parts add up to the whole by the way they are cut,
-//! and rest on no maximum, no wall clock of another machine and no estimate that errs high.
+//! share nothing, so each has a part of the budget; the parts add up to the whole by the way they are cut.
 
 use crate::api::*;
 use crate::backend_view::UTIL_TRUST;
@@ -29,9 +28,10 @@
         let Some(mut decision) = self.slow_start(backend, request) else { return true };
         let grants = decision.branch.grants();
         if !grants {
-            let count = backend.refusals.get().count.saturating_add(1);
-            decision.refusals = count;
-            backend.refusals.set(Refusals { count, last: Some(decision) });
+            let mut refused = self.refused.borrow_mut();
+            let before = refused.get(&decision.backend).map_or(0, |last| last.refusals);
+            decision.refusals = before.saturating_add(1);
+            refused.insert(decision.backend, decision);
         }
         grants
     }
@@ -45,13 +45,11 @@
         let weight = 1.0 - decay(now.saturating_sub(self.measured_at), CAPACITY_SMOOTHING);
         self.measured_at = now;
         let mut sums = vec![(0.0, 0.0, 0.0); self.zones.len()];
-        // Where no report tells the used part, all of it counts: what is served can surely be done.
-        let silent =
-            !self.told_util() || !self.backends.values().any(|b| b.util.younger_than(now, UTIL_TRUST));
         let warm = |b: &&Backend| b.member.stage == Stage::InService && b.ramp(now, rules) >= 1.0;
         for peer in self.backends.values().filter(warm) {
             if let Some(sum) = sums.get_mut(peer.member.zone.0 as usize) {
-                let told = !silent && peer.util.younger_than(now, UTIL_TRUST);
+                // Where no report tells the used part, all of it counts: what is served can surely be done.
+                let told = peer.util.younger_than(now, UTIL_TRUST);
                 let used = if told { peer.util.value.clamp(LEAST_USED, 1.0) } else { 1.0 };
                 *sum = (sum.0 + peer.served.now(now), sum.1 + peer.size() * used, sum.2 + peer.size());
             }
@@ -73,7 +71,7 @@
         if ramp >= 1.0 {
             return None;
         }
-        let since = self.now.saturating_sub(rules.fall_span + self.settings.quantum);
+        let since = self.slow_start_since();
         let spent: f64 = backend.cold_sends.iter().filter(|(at, _)| *at >= since).map(|send| send.1).sum();
         let cost = self.mean_parts(request.cold_cost);
         let zone = self.zones.get(backend.member.zone.0 as usize).copied().unwrap_or_default();
@@ -121,6 +119,11 @@
         })
     }
 
+    /// From when on what was sent to a cold backend counts.
+    pub(crate) fn slow_start_since(&self) -> Nanos {
+        self.now.saturating_sub(self.settings.rules.fall_span + self.settings.quantum)
+    }
+
     /// This node's part of what all nodes may send to a backend whatever they have measured: as much as any
     /// other's where nodes are few, as each of them sends to every zone. Where they are many, those of its
     /// own zone have one half, those of all other zones the other.
@@ -157,11 +160,10 @@
     /// Logs what slow start has kept back, one line a backend, and which backends have become warm.
     pub(crate) fn note_slow_start(&mut self, actions: &mut Vec<Action>) {
         let rules = &self.settings.rules;
+        let refused = std::mem::take(self.refused.get_mut());
+        actions.extend(refused.into_values().map(|decision| Action::Log(Note::SlowStart(decision))));
         for backend in self.backends.values_mut() {
-            if let Some(decision) = backend.refusals.take().last {
-                actions.push(Action::Log(Note::SlowStart(decision)));
-            }
-            let cold = backend.member.stage == Stage::InService && backend.ramp(self.now, rules) < 1.0;
+            let cold = backend.ramp(self.now, rules) < 1.0;
             if std::mem::replace(&mut backend.was_cold, cold) && !cold {
                 actions.push(Action::Log(Note::Warm { backend: backend.member.backend }));
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 //! Plain data and arithmetic that know nothing of what decides on them: the modules of decisions,
 //! which the deploy file lists under `policy`, use them.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::api::*;
@@ -119,13 +119,6 @@
     },
 }
 
-/// Attempts that slow start has kept back since they were last logged.
-#[derive(Clone, Copy, Default)]
-pub(crate) struct Refusals {
-    pub(crate) count: u32,
-    pub(crate) last: Option<SlowStartDecision>,
-}
-
 /// A backend as this node sees it.
 #[derive(Default)]
 pub(crate) struct Backend {
@@ -141,8 +134,6 @@
     pub(crate) health: Health,
     pub(crate) ejections: u32,
     pub(crate) cold_sends: VecDeque<(Nanos, f64)>,
-    /// Counted where backends are compared, which changes nothing else.
-    pub(crate) refusals: Cell<Refusals>,
     /// Whether it was still cold when last looked at.
     pub(crate) was_cold: bool,
     /// Requests held for each core, as the list's live weight told last.
@@ -258,6 +249,9 @@
     pub(crate) classes: Vec<ClassView>,
     /// Work of a request on the mean over all classes, in nanoseconds.
     pub(crate) mean_cost: f64,
+    /// The last attempt that slow start kept back on each backend since it was last logged, noted where backends
+    /// are compared, which changes nothing else.
+    pub(crate) refused: RefCell<BTreeMap<BackendId, SlowStartDecision>>,
     /// When the zones' capacity was last measured.
     pub(crate) measured_at: Nanos,
     /// When any backend's utilisation was last told.
@@ -311,6 +305,7 @@
             zones,
             classes,
             mean_cost: 0.0,
+            refused: RefCell::default(),
             measured_at: now,
             util_at: None,
             overflow: Vec::new(),
