Replace the Raft node of a replica whose store has failed, without a restart

Callers saw: a disk that was full once ended the registry. With the stores of two of three replicas failing for a while, no write was accepted until somebody restarted them. With the leader's store failing, two replicas reported that they lead, and clients of the failed one got 'the leader was just elected and is not ready yet'. Cause: openraft ends its node at the first storage error. Nothing started it again, and the metrics of the dead node, with itself as leader, were still taken for the present. Change: a stopped node neither leads nor knows a leader. Its replica closes the store, drops the file's pages from the page cache, opens it again (redb checks what it reads), tests it with a durable write of 1 MiB, and starts a new node on what it holds. Readers keep the former list until the new node has applied as much. Until then the replica answers Raft messages with 503, relays its clients' calls to the members, and says in status, readiness and log what failed and since when. Why it works: only what is read from the file counts, votes and entries included, so the new node is one that was restarted after a crash.

--- a/cli/tests/registry/cluster.rs
+++ b/cli/tests/registry/cluster.rs
@@ -15,7 +15,7 @@
 use flaxdale_registry::list::State;
 use flaxdale_registry::wire::{Listing, Target};
 use flaxdale_rig::listener::ReservedPort;
-use rustix::process::{Pid, Signal, kill_process};
+use rustix::process::{Pid, Resource, Rlimit, Signal, kill_process, prlimit};
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -164,6 +164,22 @@
         Pid::from_child(self.replicas[index].child.as_ref().expect("a running process"))
     }
 
+    /// Makes writes of a replica fail that would let its store grow, as on a full disk.
+    pub fn limit_store_to_present_size(&self, index: usize) {
+        let store = std::fs::metadata(self.replicas[index].data.join("registry.redb")).expect("a store");
+        self.set_file_size_limit(index, Some(store.len()));
+    }
+
+    /// Lifts the limit of [`Self::limit_store_to_present_size`].
+    pub fn lift_store_limit(&self, index: usize) {
+        self.set_file_size_limit(index, None);
+    }
+
+    fn set_file_size_limit(&self, index: usize, limit: Option<u64>) {
+        let limit = Rlimit { current: limit, maximum: None };
+        prlimit(Some(self.pid(index)), Resource::Fsize, limit).expect("a file size limit");
+    }
+
     /// Deletes the store of a stopped replica.
     pub fn delete_store(&self, index: usize) {
         std::fs::remove_dir_all(&self.replicas[index].data).expect("a removed directory");
--- /dev/null
+++ b/cli/tests/registry/faults.rs
@@ -0,0 +1,117 @@
+//! Faults of stores, calls and links that once ended the registry or lost what it had acknowledged.
+
+use std::time::Duration;
+
+use flaxdale_registry::wire::Listing;
+use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
+
+use crate::cluster::{Cluster, Writer, registration};
+use crate::{LONG_LEASES, check_consistency, start_watchers};
+
+/// Time within which writes are accepted while a majority of the stores works.
+const WRITES_CONTINUE_WITHIN: Duration = Duration::from_secs(5);
+/// Time within which writes are accepted after a majority of the stores works again.
+const WRITES_RESUME_WITHIN: Duration = Duration::from_secs(10);
+
+/// Time limit of a call, after which another replica is tried.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Registers an instance through any of the given replicas; panics if it takes longer than a limit.
+async fn register_within(cluster: &Cluster, replicas: &[usize], uid: &str, limit: Duration) {
+    let accepted = timeout(limit, async {
+        loop {
+            for at in replicas {
+                let mut client = cluster.client(*at);
+                let registration = registration(uid, 1);
+                let call = client.post::<Value>("/registry/register", &registration);
+                if timeout(CALL_TIMEOUT, call).await.is_ok_and(|result| result.is_ok()) {
+                    return;
+                }
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+    });
+    assert!(accepted.await.is_ok(), "no write accepted within {limit:?}\n{}", cluster.logs());
+}
+
+/// Writes to the log until the stores of some replicas, which may not grow, have failed.
+async fn fill_stores(cluster: &Cluster, limited: &[usize]) {
+    let line = json!({"instance": {"uid": "x".repeat(100), "endpoint": "1.2.3.4:5", "zone": "z".repeat(100),
+        "kind": "k".repeat(100), "group": 0, "capacity": 1.0, "boot_ms": 1}, "state": "Ready", "suspect": false,
+        "rev": 1});
+    // A part of a backup that is never completed, which changes nothing on the list.
+    let part = json!({"part": 0, "parts": 2, "lines": vec![line; 100]});
+    cluster
+        .wait_until("the limited stores have failed", async || {
+            let mut client = cluster.client_of_all();
+            let _ = timeout(Duration::from_secs(3), client.post::<Value>("/registry/restore", &part)).await;
+            for at in limited {
+                match cluster.status(*at).await {
+                    Some(status) if status["ready"] == json!(false) => {}
+                    _ => return false,
+                }
+            }
+            true
+        })
+        .await;
+}
+
+async fn leaders(cluster: &Cluster) -> Vec<usize> {
+    let mut leaders = Vec::new();
+    for at in 0..cluster.replicas.len() {
+        if cluster.status(at).await.is_some_and(|status| status["leads"] == json!(true)) {
+            leaders.push(at);
+        }
+    }
+    leaders
+}
+
+/// A replica whose store fails must step down, forward its clients' calls, and come back without a restart.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_continue_while_the_store_of_the_leader_fails() {
+    let cluster = Cluster::start(3, LONG_LEASES).await;
+    let (watchers, writer) = (start_watchers(&cluster), Writer::start(cluster.client_of_all(), "w"));
+    let failed = cluster.wait_ready().await;
+    cluster.limit_store_to_present_size(failed);
+    fill_stores(&cluster, &[failed]).await;
+    register_within(&cluster, &[0, 1, 2], "during", WRITES_CONTINUE_WITHIN).await;
+    cluster
+        .wait_until(
+            "exactly one other replica leads",
+            async || matches!(leaders(&cluster).await[..], [leader] if leader != failed),
+        )
+        .await;
+    let status = cluster.status(failed).await.expect("a response");
+    assert_eq!(status["leads"], json!(false), "{status}");
+    assert!(status["unready"].as_str().is_some_and(|reason| reason.contains("store")), "{status}");
+    assert!(status["store_failure"]["error"].is_string(), "{status}");
+    assert!(status["store_failure"]["since_ms"].is_u64(), "{status}");
+    // Its clients reach the leader through it.
+    let mut client = cluster.client(failed);
+    let forwarded = client.post::<Value>("/registry/register", &registration("forwarded", 1)).await;
+    assert!(forwarded.is_ok(), "{forwarded:?}\n{}", cluster.logs());
+    cluster.lift_store_limit(failed);
+    let recovered = timeout(WRITES_RESUME_WITHIN, cluster.wait_ready()).await;
+    assert!(recovered.is_ok(), "the replica must recover by itself\n{}", cluster.logs());
+    check_consistency(&cluster, writer, watchers).await;
+}
+
+/// A majority of stores that fail for a while must not require a restart of any replica.
+#[tokio::test(flavor = "multi_thread")]
+async fn writes_resume_without_a_restart_when_full_disks_have_space_again() {
+    for failing in [2, 3] {
+        let cluster = Cluster::start(3, LONG_LEASES).await;
+        let (watchers, writer) = (start_watchers(&cluster), Writer::start(cluster.client_of_all(), "w"));
+        let leader = cluster.wait_ready().await;
+        let limited: Vec<usize> = (0..failing).map(|offset| (leader + offset) % 3).collect();
+        limited.iter().for_each(|at| cluster.limit_store_to_present_size(*at));
+        fill_stores(&cluster, &limited).await;
+        let list: Listing = cluster.client(leader).get("/registry/instances").await.expect("a list");
+        assert!(!list.targets.is_empty(), "a failed replica must serve its list");
+        sleep(Duration::from_secs(1)).await;
+        limited.iter().for_each(|at| cluster.lift_store_limit(*at));
+        register_within(&cluster, &[0, 1, 2], "after", WRITES_RESUME_WITHIN).await;
+        check_consistency(&cluster, writer, watchers).await;
+    }
+}
--- a/cli/tests/registry/main.rs
+++ b/cli/tests/registry/main.rs
@@ -1,6 +1,7 @@
 //! The registry as several processes of the program, with faults of processes and links.
 
 mod cluster;
+mod faults;
 mod history;
 
 use std::collections::BTreeSet;
@@ -235,10 +236,7 @@
 async fn a_full_disk_rejects_writes_and_still_serves_reads() {
     let mut cluster = Cluster::start(1, LONG_LEASES).await;
     cluster.register("before", 1).await;
-    let store = std::fs::metadata(cluster.folder.path().join("data-0/registry.redb")).expect("a store").len();
-    let limit = rustix::process::Rlimit { current: Some(store), maximum: None };
-    rustix::process::prlimit(Some(cluster.pid(0)), rustix::process::Resource::Fsize, limit)
-        .expect("a file size limit");
+    cluster.limit_store_to_present_size(0);
     let mut number = 0;
     let mut client = cluster.client(0);
     let (status, text) = loop {
@@ -289,10 +287,16 @@
     client.get::<Listing>("/registry/instances").await.expect("a list");
 }
 
-/// Runs the program and returns whether it succeeded, and its output.
-fn flaxdale(cluster: &Cluster, arguments: &[&str]) -> (bool, String) {
+/// Returns a command of the program's `registry` group.
+fn flaxdale_command(arguments: &[&str]) -> std::process::Command {
     let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_flaxdale"));
     command.arg("registry").args(arguments);
+    command
+}
+
+/// Runs the program and returns whether it succeeded, and its output.
+fn flaxdale(cluster: &Cluster, arguments: &[&str]) -> (bool, String) {
+    let mut command = flaxdale_command(arguments);
     for replica in &cluster.replicas {
         command.arg("--at").arg(replica.client.to_string());
     }
--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -13,6 +13,7 @@
 use axum::routing::{get, post};
 use flaxdale_fleet::watch::{INSTANCES_PATH, LIST_AGE_HEADER};
 use openraft::Snapshot;
+use openraft::error::RaftError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -22,8 +23,10 @@
 use crate::peers::{
     APPEND_PATH, FLEET_HEADER, MAX_MESSAGE_BYTES, REPLICA_HEADER, SNAPSHOT_PATH, SnapshotMessage, VOTE_PATH,
 };
+use crate::raft::ReplicaId;
 use crate::replica::{
-    ApiError, ELECT_PATH, IDENTITY_PATH, MAX_RENEWALS_PER_CALL, OPERATION_PATH, Operation, Replica,
+    ApiError, ELECT_PATH, IDENTITY_PATH, MAX_RENEWALS_PER_CALL, OPERATION_PATH, Operation, Origin,
+    RELAY_PATH, Replica,
 };
 use crate::wire::{BackupPart, ErrorBody, InstanceKey, Renewal, ReplicaChange, SuspectDecision, Target};
 
@@ -93,13 +96,13 @@
         .route(
             OPERATION_PATH,
             post(async |State(replica): ReplicaState, body: Bytes| {
-                dispatch(&replica, parse(&body)?, true).await
+                dispatch(&replica, parse(&body)?, Origin::Forwarded).await
             }),
         )
         .route(
-            "/peer/join",
+            RELAY_PATH,
             post(async |State(replica): ReplicaState, body: Bytes| {
-                dispatch(&replica, parse(&body)?, false).await
+                dispatch(&replica, parse(&body)?, Origin::Relayed).await
             }),
         )
         .fallback(async || ApiError::new(404, "no such path"))
@@ -125,29 +128,41 @@
     next.run(request).await
 }
 
+/// Returns the result of a Raft message as a response. A replica that takes no part in replication at present answers
+/// like one that does not run.
+fn raft_response<T: Serialize, E: Serialize>(
+    result: Result<T, RaftError<ReplicaId, E>>,
+) -> Result<Response, ApiError> {
+    match result {
+        Err(RaftError::Fatal(error)) => Err(ApiError::unavailable(format!("Raft has stopped: {error}"))),
+        result => Ok(json(&result)),
+    }
+}
+
 async fn append(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
-    Ok(json(&replica.raft().append_entries(parse(&body)?).await))
+    raft_response(replica.raft().append_entries(parse(&body)?).await)
 }
 
 async fn vote(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
-    Ok(json(&replica.raft().vote(parse(&body)?).await))
+    raft_response(replica.raft().vote(parse(&body)?).await)
 }
 
 async fn snapshot(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
     let SnapshotMessage { vote, meta, state } = parse(&body)?;
     let snapshot = Snapshot { meta, snapshot: Box::new(state) };
-    Ok(json(&replica.raft().install_full_snapshot(vote, snapshot).await))
+    let installed = replica.raft().install_full_snapshot(vote, snapshot).await;
+    raft_response(installed.map_err(RaftError::<ReplicaId>::Fatal))
 }
 
-async fn dispatch(replica: &Replica, operation: Operation, forwarded: bool) -> Result<Response, ApiError> {
-    replica.dispatch(operation, forwarded).await.map(|result: Value| json(&result))
+async fn dispatch(replica: &Replica, operation: Operation, origin: Origin) -> Result<Response, ApiError> {
+    replica.dispatch(operation, origin).await.map(|result: Value| json(&result))
 }
 
 async fn register(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
     let instance = crate::list::Instance::from(parse::<Target>(&body)?);
     // Validated before it is forwarded or replicated.
     instance.check().map_err(|error| ApiError::new(400, error.to_string()))?;
-    dispatch(&replica, Operation::Register(instance), false).await
+    dispatch(&replica, Operation::Register(instance), Origin::Client).await
 }
 
 async fn renew(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
@@ -155,27 +170,27 @@
     if renewal.lives.len() > MAX_RENEWALS_PER_CALL {
         return Err(ApiError::new(400, format!("lives: must have at most {MAX_RENEWALS_PER_CALL} entries")));
     }
-    dispatch(&replica, Operation::Renew(renewal), false).await
+    dispatch(&replica, Operation::Renew(renewal), Origin::Client).await
 }
 
 async fn drain(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
-    dispatch(&replica, Operation::Drain(parse::<InstanceKey>(&body)?), false).await
+    dispatch(&replica, Operation::Drain(parse::<InstanceKey>(&body)?), Origin::Client).await
 }
 
 async fn leave(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
-    dispatch(&replica, Operation::Leave(parse::<InstanceKey>(&body)?), false).await
+    dispatch(&replica, Operation::Leave(parse::<InstanceKey>(&body)?), Origin::Client).await
 }
 
 async fn suspects(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
-    dispatch(&replica, Operation::Decide(parse::<SuspectDecision>(&body)?), false).await
+    dispatch(&replica, Operation::Decide(parse::<SuspectDecision>(&body)?), Origin::Client).await
 }
 
 async fn restore(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
-    dispatch(&replica, Operation::Restore(parse::<BackupPart>(&body)?), false).await
+    dispatch(&replica, Operation::Restore(parse::<BackupPart>(&body)?), Origin::Client).await
 }
 
 async fn replicas(State(replica): ReplicaState, body: Bytes) -> Result<Response, ApiError> {
-    dispatch(&replica, Operation::Replicas(parse::<ReplicaChange>(&body)?), false).await
+    dispatch(&replica, Operation::Replicas(parse::<ReplicaChange>(&body)?), Origin::Client).await
 }
 
 async fn ready(State(replica): ReplicaState) -> Result<&'static str, ApiError> {
--- a/registry/src/raft.rs
+++ b/registry/src/raft.rs
@@ -77,3 +77,5 @@
 pub type StorageError = openraft::StorageError<ReplicaId>;
 /// The Raft node of a replica.
 pub type Raft = openraft::Raft<Types>;
+/// The metrics of a Raft node.
+pub type RaftMetrics = openraft::RaftMetrics<ReplicaId, Place>;
--- a/registry/src/replica/consensus.rs
+++ b/registry/src/replica/consensus.rs
@@ -33,10 +33,8 @@
 
     /// Like [`Self::write`], but allowed before the leader has created its leases.
     pub(super) async fn propose(&self, command: Command) -> Result<Rev, ApiError> {
-        if let Some(error) = self.fatal_error() {
-            return Err(ApiError::new(507, error));
-        }
-        let (size, limit) = (self.store.size(), self.settings.most_store_mb * 1024 * 1024);
+        self.check_store()?;
+        let (size, limit) = (lock(&self.node).store.size(), self.settings.most_store_mb * 1024 * 1024);
         if size >= limit {
             let message = format!("the store has {size} bytes, the limit is {limit}: writes are rejected");
             return Err(ApiError::new(507, message));
@@ -70,16 +68,16 @@
             let batch_size = commands.len() as u64;
             self.metrics.commands.inc_by(batch_size);
             self.metrics.log_entries.inc();
-            let outcome = match timeout(WRITE_TIMEOUT, self.raft.client_write(commands)).await {
+            let outcome = match timeout(WRITE_TIMEOUT, self.raft().client_write(commands)).await {
                 Ok(Ok(response)) => Ok(response.data),
                 Ok(Err(RaftError::APIError(ClientWriteError::ForwardToLeader(_)))) => {
                     Err(ApiError::unavailable("leadership has moved to another replica"))
                 }
                 Ok(Err(RaftError::APIError(error))) => Err(ApiError::unavailable(error.to_string())),
-                Ok(Err(RaftError::Fatal(error))) => {
-                    let stopped = || format!("Raft has stopped: {error}");
-                    Err(ApiError::new(507, self.fatal_error().unwrap_or_else(stopped)))
-                }
+                Ok(Err(RaftError::Fatal(error))) => Err(self
+                    .check_store()
+                    .err()
+                    .unwrap_or_else(|| ApiError::unavailable(format!("Raft has stopped: {error}")))),
                 Err(_) => Err(ApiError::outcome_unknown("the command was not replicated in time")),
             };
             match outcome {
@@ -121,7 +119,7 @@
                 // A round sends heartbeats, which would prevent the election of another leader.
                 Err(ApiError::unavailable("leadership is being transferred"))
             } else {
-                match timeout(CONFIRM_TIMEOUT, self.raft.ensure_linearizable()).await {
+                match timeout(CONFIRM_TIMEOUT, self.raft().ensure_linearizable()).await {
                     Ok(Ok(read)) => match self.leading_term() {
                         Some(term) => Ok(LeadershipConfirmation { index: read.map(|id| id.index), term }),
                         None => Err(ApiError::unavailable("leadership has moved to another replica")),
@@ -172,7 +170,7 @@
             };
             match confirmation {
                 Ok(LeadershipConfirmation { index, .. }) => {
-                    let applied = self.raft.wait(Some(CONFIRM_TIMEOUT));
+                    let applied = self.raft().wait(Some(CONFIRM_TIMEOUT));
                     if applied.applied_index_at_least(index, "list age refresh").await.is_ok() {
                         self.advance_list_as_of(started_at);
                     }
--- a/registry/src/replica/forward.rs
+++ b/registry/src/replica/forward.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use super::{
-    ApiError, CONFIRM_INTERVAL, MAX_RENEWALS_PER_CALL, OPERATION_PATH, Operation, PendingRenewal,
+    ApiError, CONFIRM_INTERVAL, MAX_RENEWALS_PER_CALL, OPERATION_PATH, Operation, PendingRenewal, RELAY_PATH,
     RETRY_AFTER, Replica,
 };
 use crate::raft::{Place, ReplicaId};
@@ -34,6 +34,25 @@
         self.call_peer(place.peer, Some(leader), OPERATION_PATH, operation, FORWARD_TIMEOUT).await
     }
 
+    /// Sends an operation to the other members, one after another, until one of them passes it on to the leader. Used
+    /// while the store of this replica has failed, so that it does not know the leader.
+    pub(super) async fn relay(&self, operation: &Operation) -> Result<Value, ApiError> {
+        let mut result = self.check_store().map(|()| Value::Null);
+        for (id, place) in self.members().into_iter().filter(|(id, _)| *id != self.id) {
+            let _permit = self.forward_permits.acquire().await;
+            let relayed = self.call_peer(place.peer, Some(id), RELAY_PATH, operation, FORWARD_TIMEOUT).await;
+            match relayed {
+                // The member has not executed it.
+                Err(ApiError { status: 503 | 507, .. }) => {}
+                relayed => {
+                    result = relayed;
+                    break;
+                }
+            }
+        }
+        result
+    }
+
     /// Queues a renewal for the leader and waits for the response.
     pub(super) async fn forward_renewal(&self, renewal: Renewal) -> Result<Value, ApiError> {
         let (reply, response) = oneshot::channel();
--- a/registry/src/replica/leadership.rs
+++ b/registry/src/replica/leadership.rs
@@ -22,7 +22,6 @@
     /// While this replica is the leader, checks its leases periodically and replicates the resulting commands.
     pub(super) async fn run_leadership(self: Arc<Self>) {
         let check_interval = Duration::from_millis((self.settings.lease_ms / 20).clamp(50, 250));
-        let mut changes = self.raft.server_metrics();
         let mut last_quorum_contact = Instant::now();
         loop {
             let Some(term) = self.leading_term() else {
@@ -31,7 +30,7 @@
                 }
                 self.update_suspension(false);
                 last_quorum_contact = Instant::now();
-                let _ = timeout(check_interval, changes.changed()).await;
+                let _ = timeout(check_interval, self.raft().server_metrics().changed()).await;
                 continue;
             };
             last_quorum_contact = lock(&self.list_as_of)
@@ -69,13 +68,14 @@
     /// Adds a random delay before each further candidacy. openraft draws the election timeout only once per process, so
     /// two replicas with similar timeouts would keep splitting the vote.
     pub(super) async fn randomize_election_delay(self: Arc<Self>) {
-        let mut changes = self.raft.server_metrics();
+        let raft = self.raft();
+        let mut changes = raft.server_metrics();
         while changes.changed().await.is_ok() {
             if changes.borrow_and_update().state == ServerState::Candidate {
-                self.raft.runtime_config().elect(false);
+                raft.runtime_config().elect(false);
                 let max_delay = 2 * self.settings.election_ms;
                 sleep(Duration::from_millis((rand::random::<f64>() * max_delay as f64) as u64)).await;
-                self.raft.runtime_config().elect(true);
+                raft.runtime_config().elect(true);
             }
         }
     }
--- a/registry/src/replica/membership.rs
+++ b/registry/src/replica/membership.rs
@@ -12,19 +12,19 @@
 
 use super::{
     ApiError, BOOTSTRAP_INTERVAL, CATCH_UP_TIMEOUT, CONFIRM_TIMEOUT, ELECT_PATH, IDENTITY_PATH, Operation,
-    Replica, ReplicaIdentity,
+    RELAY_PATH, Replica, ReplicaIdentity,
 };
 use crate::raft::{Place, ReplicaId};
 
 impl Replica {
     /// Returns all members, including learners.
     pub(super) fn members(&self) -> BTreeMap<ReplicaId, Place> {
-        let membership = self.raft.metrics().borrow().membership_config.clone();
+        let membership = self.raft_metrics().membership_config;
         membership.nodes().map(|(id, place)| (*id, *place)).collect()
     }
 
     pub(super) fn voters(&self) -> BTreeSet<ReplicaId> {
-        self.raft.metrics().borrow().membership_config.voter_ids().collect()
+        self.raft_metrics().membership_config.voter_ids().collect()
     }
 
     /// Returns the ID of the member with this peer address.
@@ -37,7 +37,7 @@
 
     /// Adds a learner and waits until it has caught up.
     pub(super) async fn add_learner(&self, id: ReplicaId, place: Place) -> Result<(), ApiError> {
-        let added = timeout(CATCH_UP_TIMEOUT, self.raft.add_learner(id, place, true)).await;
+        let added = timeout(CATCH_UP_TIMEOUT, self.raft().add_learner(id, place, true)).await;
         let added = added
             .map_err(|_| ApiError::unavailable(format!("replica {} did not catch up in time", place.peer)))?;
         added.map(|_| ()).map_err(|error| ApiError::unavailable(error.to_string()))
@@ -48,7 +48,7 @@
         &self,
         change: ChangeMembers<ReplicaId, Place>,
     ) -> Result<Value, ApiError> {
-        let changed = timeout(CATCH_UP_TIMEOUT, self.raft.change_membership(change, false)).await;
+        let changed = timeout(CATCH_UP_TIMEOUT, self.raft().change_membership(change, false)).await;
         let changed = changed.map_err(|_| ApiError::outcome_unknown("membership change"))?;
         changed.map_err(|error| ApiError::unavailable(error.to_string()))?;
         Ok(json!({"replicas": self.members().len()}))
@@ -122,7 +122,7 @@
         sleep(Duration::from_millis(2 * self.settings.election_ms + self.settings.heartbeat_ms / 2)).await;
         let elected: Result<Value, ApiError> =
             self.call_peer(peer, Some(target), ELECT_PATH, &json!({}), CONFIRM_TIMEOUT).await;
-        let transferred = self.raft.wait(Some(Duration::from_secs(3)));
+        let transferred = self.raft().wait(Some(Duration::from_secs(3)));
         let transferred = transferred
             .metrics(|metrics| metrics.current_leader == Some(target), "leadership transfer")
             .await;
@@ -140,7 +140,8 @@
         let own_place = self.settings.place();
         let peers: Vec<SocketAddr> =
             self.settings.replicas.iter().copied().filter(|peer| *peer != own_place.peer).collect();
-        while !self.raft.is_initialized().await.unwrap_or(true) {
+        let raft = self.raft();
+        while !raft.is_initialized().await.unwrap_or(true) {
             let mut initial_members = BTreeMap::from([(self.id, own_place)]);
             for peer in &peers {
                 match self
@@ -150,7 +151,7 @@
                     Ok(identity) if identity.begun => {
                         let join = Operation::Join { id: self.id, place: own_place };
                         let result: Result<Value, ApiError> =
-                            self.call_peer(*peer, None, "/peer/join", &join, CATCH_UP_TIMEOUT * 2).await;
+                            self.call_peer(*peer, None, RELAY_PATH, &join, CATCH_UP_TIMEOUT * 2).await;
                         if let Err(error) = result {
                             tracing::warn!(%peer, cause = error.message, "could not join the registry");
                         }
@@ -163,7 +164,7 @@
             let is_initiator = initial_members.values().all(|place| own_place.peer <= place.peer);
             if all_present && is_initiator {
                 tracing::info!(replicas = initial_members.len(), "initializing a new registry");
-                if let Err(error) = self.raft.initialize(initial_members).await {
+                if let Err(error) = raft.initialize(initial_members).await {
                     tracing::warn!(cause = %error, "initialization of the registry failed");
                 }
             }
--- a/registry/src/replica/mod.rs
+++ b/registry/src/replica/mod.rs
@@ -4,32 +4,35 @@
 //! - `leadership` keeps the leases while this replica is the leader.
 //! - `forward` calls other replicas and forwards operations to the leader.
 //! - `membership` adds, removes and replaces replicas, transfers leadership and bootstraps a new registry.
+//! - `raft_node` holds the Raft node and replaces it after a failure of its store.
 //! - `status` reports the state of the replica.
 
 mod consensus;
 mod forward;
 mod leadership;
 mod membership;
+mod raft_node;
 mod status;
 
-use std::sync::atomic::{AtomicBool, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use openraft::{Config, ServerState, SnapshotPolicy};
+use openraft::ServerState;
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use tokio::time::{Instant, timeout};
 
+use self::raft_node::{RaftNode, StoreFailure};
 use crate::leases::Leases;
 use crate::list::{Command, Instance, Rev, revision_floor};
 use crate::metrics::Metrics;
 use crate::peers::PeerPool;
-use crate::raft::{Applied, Place, Raft, ReplicaId};
+use crate::raft::{Applied, Place, ReplicaId};
 use crate::response_cache::ResponseCache;
 use crate::settings::Settings;
-use crate::state_machine::{SharedState, StateMachine};
+use crate::state_machine::SharedState;
 use crate::store::{Store, StoreError};
 use crate::wire::{
     Backup, BackupPart, InstanceKey, Renewal, RenewalResponse, ReplicaChange, SuspectDecision,
@@ -54,6 +57,8 @@
 
 /// Path at which a replica accepts operations from other replicas.
 pub const OPERATION_PATH: &str = "/peer/do";
+/// Path at which a replica accepts operations from other replicas and forwards them to the leader.
+pub const RELAY_PATH: &str = "/peer/join";
 /// Path that returns the identity of a replica.
 pub const IDENTITY_PATH: &str = "/peer/who";
 /// Path that makes a replica start an election.
@@ -117,6 +122,17 @@
     },
 }
 
+/// Where an operation came from, which bounds how often it is passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// A client. The operation may be forwarded to the leader, or relayed by a replica whose store has failed.
+    Client,
+    /// Another replica, which does not know the leader. The operation may be forwarded to the leader.
+    Relayed,
+    /// Another replica, which takes this one for the leader. The operation is executed here or rejected.
+    Forwarded,
+}
+
 /// The identity of a replica.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct ReplicaIdentity {
@@ -164,8 +180,12 @@
 pub struct Replica {
     settings: Settings,
     id: ReplicaId,
-    raft: Raft,
-    store: Store,
+    /// The Raft node with its store, replaced after a failure of the store.
+    node: Mutex<RaftNode>,
+    /// Whether the replica is shutting down.
+    stopping: AtomicBool,
+    /// Set while the Raft node is stopped because its store has failed.
+    store_failure: Mutex<Option<StoreFailure>>,
     shared: Arc<SharedState>,
     peers: PeerPool,
     /// Cached responses to watchers.
@@ -206,32 +226,17 @@
         let new_id = (rand::random::<u64>() >> 11).max(1);
         let store = Store::open(&settings.data, &settings.fleet, new_id)?;
         let id = store.id()?;
-        let raft_error = |error: &dyn std::fmt::Display| StartError::Raft(error.to_string());
-        let config = Config {
-            cluster_name: settings.fleet.clone(),
-            heartbeat_interval: settings.heartbeat_ms,
-            election_timeout_min: settings.election_ms,
-            election_timeout_max: 2 * settings.election_ms,
-            install_snapshot_timeout: 10_000,
-            max_payload_entries: 64,
-            replication_lag_threshold: 2 * settings.snapshot_every,
-            snapshot_policy: SnapshotPolicy::LogsSinceLast(settings.snapshot_every),
-            max_in_snapshot_log_to_keep: settings.snapshot_every / 2,
-            ..Config::default()
-        };
-        let config = Arc::new(config.validate().map_err(|error| raft_error(&error))?);
         let peers = PeerPool::new(&settings.fleet, settings.via.clone());
-        let state_machine = StateMachine::open(store.clone()).await.map_err(|error| raft_error(&error))?;
-        let shared = state_machine.shared();
-        let raft = Raft::new(id, config, peers.clone(), store.clone(), state_machine).await;
-        let raft = raft.map_err(|error| raft_error(&error))?;
+        let shared = Arc::new(SharedState::empty());
+        let node = RaftNode::start(&settings, store, peers.clone(), shared.clone()).await?;
         let (confirmation_queue, confirmation_receiver) = mpsc::channel(QUEUE_CAPACITY);
         let (write_queue, write_receiver) = mpsc::channel(QUEUE_CAPACITY);
         let (renewal_queue, renewal_receiver) = mpsc::channel(QUEUE_CAPACITY);
         let replica = Arc::new(Self {
             id,
-            raft,
-            store,
+            node: Mutex::new(node),
+            store_failure: Mutex::default(),
+            stopping: AtomicBool::new(false),
             response_cache: ResponseCache::new(shared.clone()),
             shared,
             peers,
@@ -253,16 +258,17 @@
         tokio::spawn(replica.clone().process_writes(write_receiver));
         tokio::spawn(replica.clone().process_renewals(renewal_receiver));
         tokio::spawn(replica.clone().run_leadership());
-        tokio::spawn(replica.clone().randomize_election_delay());
         tokio::spawn(replica.clone().refresh_list_age());
-        tokio::spawn(replica.clone().bootstrap());
+        tokio::spawn(replica.clone().recover_store());
+        replica.spawn_node_tasks();
         Ok(replica)
     }
 
     /// Shuts down the Raft node.
     pub async fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
         // A shutdown that fails or times out is ignored: the process exits anyway.
-        let _ = timeout(Duration::from_secs(2), self.raft.shutdown()).await;
+        let _ = timeout(Duration::from_secs(2), self.raft().shutdown()).await;
     }
 
     /// Returns the settings.
@@ -275,11 +281,6 @@
         self.id
     }
 
-    /// Returns the Raft node, for messages of other replicas.
-    pub fn raft(&self) -> &Raft {
-        &self.raft
-    }
-
     /// Returns the revision of the local list.
     pub fn rev(&self) -> Rev {
         self.shared.read().list.rev()
@@ -297,7 +298,7 @@
 
     /// Returns the identity of the replica.
     pub async fn identity(&self) -> ReplicaIdentity {
-        let begun = self.raft.is_initialized().await.unwrap_or(true);
+        let begun = self.raft().is_initialized().await.unwrap_or(true);
         ReplicaIdentity {
             fleet: self.settings.fleet.clone(),
             id: self.id,
@@ -308,17 +309,17 @@
 
     /// Starts an election.
     pub async fn campaign(&self) -> Result<Value, ApiError> {
-        let result = self.raft.trigger().elect().await;
+        let result = self.raft().trigger().elect().await;
         result.map_err(|error| ApiError::new(500, error.to_string()))?;
         Ok(json!({}))
     }
 
     /// Returns why the replica is not ready, if so: it must know a leader, and its list must be recent.
     pub fn not_ready_reason(&self) -> Option<String> {
-        if let Some(error) = self.fatal_error() {
-            return Some(error);
+        if let Some(failure) = self.store_failure() {
+            return Some(failure.to_string());
         }
-        if self.raft.metrics().borrow().current_leader.is_none() {
+        if self.raft_metrics().current_leader.is_none() {
             return Some("no leader is known".to_owned());
         }
         let max_age = Duration::from_millis(self.settings.ready_age_ms);
@@ -329,18 +330,8 @@
         }
     }
 
-    /// Returns the error after which the replica must be restarted, if any.
-    fn fatal_error(&self) -> Option<String> {
-        if let Some(error) = self.store.first_write_error() {
-            return Some(format!("the store rejects writes after an error: {error}"));
-        }
-        let running = self.raft.metrics().borrow().running_state.clone();
-        running.err().map(|fatal| format!("Raft has stopped: {fatal}"))
-    }
-
     fn leader(&self) -> Option<(ReplicaId, Place)> {
-        let metrics = self.raft.metrics();
-        let metrics = metrics.borrow();
+        let metrics = self.raft_metrics();
         let leader = metrics.current_leader?;
         let place = metrics.membership_config.membership().get_node(&leader).copied()?;
         Some((leader, place))
@@ -348,25 +339,25 @@
 
     /// Returns the term in which this replica is the leader, as far as it knows.
     fn leading_term(&self) -> Option<u64> {
-        let metrics = self.raft.metrics();
-        let metrics = metrics.borrow();
+        let metrics = self.raft_metrics();
         (metrics.state == ServerState::Leader && metrics.current_leader == Some(self.id))
             .then_some(metrics.current_term)
     }
 
-    /// Executes an operation if this replica is the leader, and forwards it to the leader otherwise. An operation that
-    /// was `forwarded` already is not forwarded again.
-    pub async fn dispatch(&self, operation: Operation, forwarded: bool) -> Result<Value, ApiError> {
+    /// Executes an operation if this replica is the leader, and sends it towards the leader otherwise, as far as its
+    /// origin allows.
+    pub async fn dispatch(&self, operation: Operation, origin: Origin) -> Result<Value, ApiError> {
         let result = match self.leader() {
             Some((leader, _)) if leader == self.id => self.execute(operation).await,
-            Some((leader, place)) if !forwarded => match operation {
+            Some((leader, place)) if origin != Origin::Forwarded => match operation {
                 Operation::Renew(renewal) => self.forward_renewal(renewal).await,
                 operation => self.forward(leader, place, &operation).await,
             },
             Some(_) => Err(ApiError::unavailable("leadership has moved to another replica")),
-            None => match self.fatal_error() {
-                Some(error) => Err(ApiError::new(507, error)),
-                None => Err(ApiError::unavailable("no leader is known")),
+            None => match self.check_store() {
+                Err(_) if origin == Origin::Client => self.relay(&operation).await,
+                Err(error) => Err(error),
+                Ok(()) => Err(ApiError::unavailable("no leader is known")),
             },
         };
         if result.is_err() {
--- a/registry/src/replica/status.rs
+++ b/registry/src/replica/status.rs
@@ -5,14 +5,14 @@
 
 use serde_json::{Value, json};
 
-use super::Replica;
+use super::{Replica, lock};
 use crate::list::{Line, State as InstanceState};
 use crate::metrics::Gauges;
 
 impl Replica {
     /// Returns the current values of the gauges.
     pub fn gauges(&self) -> Gauges {
-        let raft_metrics = self.raft.metrics().borrow().clone();
+        let raft_metrics = self.raft_metrics();
         let state = self.shared.read();
         Gauges {
             rev: state.list.rev(),
@@ -24,13 +24,13 @@
             term: raft_metrics.current_term,
             applied_index: raft_metrics.last_applied.map_or(0, |id| id.index),
             list_age_s: self.age().map(|age| age.as_secs_f64()),
-            store_bytes: self.store.size(),
+            store_bytes: lock(&self.node).store.size(),
         }
     }
 
     /// Returns the status of the replica and its registry as JSON.
     pub fn status(&self) -> Value {
-        let raft_metrics = self.raft.metrics().borrow().clone();
+        let raft_metrics = self.raft_metrics();
         let (gauges, not_ready_reason) = (self.gauges(), self.not_ready_reason());
         let voters = self.voters();
         let replicas: Vec<Value> = self
@@ -51,6 +51,9 @@
             })
             .collect();
         let mut zones: BTreeMap<String, (u64, u64, u64)> = BTreeMap::new();
+        let store_failure = self.store_failure().map(
+            |failure| json!({"error": failure.error, "since_ms": failure.since.elapsed().as_millis() as u64}),
+        );
         let state = self.shared.read();
         for Line { instance, state, suspect, .. } in state.list.lines() {
             let zone = zones.entry(instance.zone.clone()).or_default();
@@ -73,6 +76,7 @@
             "age_ms": self.age().map(|age| age.as_millis() as u64),
             "replicas": replicas, "zones": zones, "watches": gauges.watches,
             "connections": gauges.connections, "store_bytes": gauges.store_bytes,
+            "store_failure": store_failure,
         })
     }
 }
--- a/registry/src/state_machine.rs
+++ b/registry/src/state_machine.rs
@@ -30,9 +30,9 @@
 }
 
 impl SharedState {
-    fn new(state: RegistryState) -> Self {
-        let rev = watch::Sender::new(state.list.rev());
-        Self { state: RwLock::new(state), rev }
+    /// Creates the state of a replica that has applied nothing yet.
+    pub fn empty() -> Self {
+        Self { state: RwLock::default(), rev: watch::Sender::new(0) }
     }
 
     /// Returns a read guard of the current state, which must not be held across an await point.
@@ -59,20 +59,42 @@
 /// The state machine that openraft applies entries to.
 pub struct StateMachine {
     shared: Arc<SharedState>,
+    /// The state that is being rebuilt from the store, while the shared state is ahead of it. Readers and watchers keep
+    /// the shared state until then, so that no revision decreases.
+    rebuilding: Option<RegistryState>,
     store: Store,
 }
 
 impl StateMachine {
-    /// Opens the state machine at the last snapshot. Later entries are applied again from the log.
-    pub async fn open(store: Store) -> Result<Self, StorageError> {
+    /// Opens the state machine at the last snapshot. Later entries are applied again from the log. The state is shared
+    /// once it is as recent as the one that is shared already.
+    pub async fn open(store: Store, shared: Arc<SharedState>) -> Result<Self, StorageError> {
         let snapshot = store.snapshot().await.map_err(|error| StorageIOError::read_snapshot(None, &error))?;
         let state = snapshot.map(|(_, state)| state).unwrap_or_default();
-        Ok(Self { shared: Arc::new(SharedState::new(state)), store })
+        let mut state_machine = Self { shared, rebuilding: Some(state), store };
+        state_machine.share_if_recent();
+        Ok(state_machine)
     }
 
-    /// Returns the shared state.
-    pub fn shared(&self) -> Arc<SharedState> {
-        self.shared.clone()
+    fn share_if_recent(&mut self) {
+        let shared_position = self.shared.read().applied;
+        if let Some(state) = self.rebuilding.take_if(|state| state.applied >= shared_position) {
+            self.shared.modify(|shared| *shared = state);
+        }
+    }
+
+    fn modify<T>(&mut self, modify: impl FnOnce(&mut RegistryState) -> T) -> T {
+        let Some(state) = &mut self.rebuilding else { return self.shared.modify(modify) };
+        let result = modify(state);
+        self.share_if_recent();
+        result
+    }
+
+    fn read<T>(&self, read: impl FnOnce(&RegistryState) -> T) -> T {
+        match &self.rebuilding {
+            Some(state) => read(state),
+            None => read(&self.shared.read()),
+        }
     }
 }
 
@@ -80,8 +102,7 @@
     type SnapshotBuilder = SnapshotBuilder;
 
     async fn applied_state(&mut self) -> Result<(Option<LogId>, Membership), StorageError> {
-        let state = self.shared.read();
-        Ok((state.applied, state.membership.clone()))
+        Ok(self.read(|state| (state.applied, state.membership.clone())))
     }
 
     async fn apply<I>(&mut self, entries: I) -> Result<Vec<Vec<Applied>>, StorageError>
@@ -90,7 +111,7 @@
         I::IntoIter: OptionalSend,
     {
         let entries = entries.into_iter();
-        Ok(self.shared.modify(|state| {
+        Ok(self.modify(|state| {
             let apply = |entry: openraft::Entry<Types>| {
                 state.applied = Some(entry.log_id);
                 match entry.payload {
@@ -113,7 +134,7 @@
     }
 
     async fn get_snapshot_builder(&mut self) -> SnapshotBuilder {
-        SnapshotBuilder { state: self.shared.read().clone(), store: self.store.clone() }
+        SnapshotBuilder { state: self.read(RegistryState::clone), store: self.store.clone() }
     }
 
     async fn begin_receiving_snapshot(&mut self) -> Result<Box<RegistryState>, StorageError> {
@@ -128,7 +149,7 @@
         let stored = self.store.save_snapshot(meta.clone(), *snapshot).await;
         let stored =
             stored.map_err(|error| StorageIOError::write_snapshot(Some(meta.signature()), &error))?;
-        self.shared.modify(|state| *state = stored);
+        self.modify(|state| *state = stored);
         Ok(())
     }
 
--- a/registry/src/store.rs
+++ b/registry/src/store.rs
@@ -1,10 +1,11 @@
 //! The durable state of a replica: its ID, its vote, the log and the last snapshot, in one redb database. Writes are
-//! atomic and durable before they are acknowledged.
+//! atomic and durable before they are acknowledged. After a write that failed, the store accepts no further write: it
+//! has to be closed and opened again, which checks what the file contains.
 
 use std::fmt::Debug;
 use std::ops::{Bound, RangeBounds};
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 
 use openraft::storage::{LogFlushed, RaftLogStorage};
 use openraft::{LogState, OptionalSend, RaftLogId, RaftLogReader, SnapshotMeta, StorageIOError, Vote};
@@ -25,10 +26,15 @@
 const LAST_PURGED: &str = "purged";
 const SNAPSHOT_META: &str = "snapshot-meta";
 const SNAPSHOT: &str = "snapshot";
+const FILE_NAME: &str = "registry.redb";
 /// Size of the database's page cache.
 const CACHE_BYTES: usize = 16 * 1024 * 1024;
 /// Limit of the entries that are read for one replication message.
 const MAX_READ_BYTES: usize = 512 * 1024;
+/// Key of the value that is written to test a store that had failed.
+const TEST_WRITE: &str = "test-write";
+/// Size of that value. The space stays in the file, so that the next writes do not fail at once.
+const TEST_WRITE_BYTES: usize = 1024 * 1024;
 
 type SnapshotMetadata = SnapshotMeta<ReplicaId, Place>;
 
@@ -59,6 +65,25 @@
         /// The error.
         source: std::io::Error,
     },
+    /// The file cannot be read again after a failure.
+    #[error("{file}: {source}")]
+    File {
+        /// The file.
+        file: String,
+        /// The error.
+        source: std::io::Error,
+    },
+    /// The file was replaced by the store of another replica.
+    #[error("the store belongs to replica {stored}, expected {expected}")]
+    Replica {
+        /// The replica that the store belongs to.
+        stored: ReplicaId,
+        /// This replica.
+        expected: ReplicaId,
+    },
+    /// The store was closed after a failure.
+    #[error("the store is closed after a failed write")]
+    Closed,
     /// The operation did not complete because the runtime is shutting down or the operation panicked.
     #[error("store operation cancelled")]
     Cancelled,
@@ -78,9 +103,10 @@
 /// The store of a replica.
 #[derive(Clone)]
 pub struct Store {
-    database: Arc<Database>,
+    /// `None` once the store is closed.
+    database: Arc<RwLock<Option<Arc<Database>>>>,
     file: PathBuf,
-    /// The first write that failed. From then on the replica rejects writes.
+    /// The first write that failed. From then on the store rejects writes.
     first_write_error: Arc<Mutex<Option<String>>>,
 }
 
@@ -103,6 +129,15 @@
     Ok(())
 }
 
+/// Drops the pages of a file from the page cache. After a sync that failed, the kernel may treat pages as written that
+/// never reached the disk; without them, the file is read as it is on the disk.
+fn drop_cached_pages(file: &Path) -> Result<(), StoreError> {
+    let file_error = |source| StoreError::File { file: file.display().to_string(), source };
+    let opened = std::fs::File::open(file).map_err(file_error)?;
+    rustix::fs::fadvise(&opened, 0, None, rustix::fs::Advice::DontNeed)
+        .map_err(|error| file_error(error.into()))
+}
+
 fn encode<T: Serialize>(value: &T) -> Result<Vec<u8>, StoreError> {
     Ok(serde_json::to_vec(value)?)
 }
@@ -113,7 +148,7 @@
         let directory_error =
             |source| StoreError::Directory { directory: directory.display().to_string(), source };
         std::fs::create_dir_all(directory).map_err(directory_error)?;
-        let file = directory.join("registry.redb");
+        let file = directory.join(FILE_NAME);
         let database = Database::builder().set_cache_size(CACHE_BYTES).create(&file)?;
         let transaction = database.begin_write()?;
         transaction.open_table(LOG)?;
@@ -130,12 +165,39 @@
             }
             Some(_) => {}
         }
-        Ok(Self { database: Arc::new(database), file, first_write_error: Arc::default() })
+        let database = Arc::new(RwLock::new(Some(Arc::new(database))));
+        Ok(Self { database, file, first_write_error: Arc::default() })
+    }
+
+    /// Opens a store again that was closed after a failed write, and writes to it, to test whether writes succeed.
+    pub fn reopen(directory: &Path, fleet: &str, id: ReplicaId) -> Result<Self, StoreError> {
+        drop_cached_pages(&directory.join(FILE_NAME))?;
+        let store = Self::open(directory, fleet, id)?;
+        let stored = store.id()?;
+        if stored != id {
+            return Err(StoreError::Replica { stored, expected: id });
+        }
+        let database = store.database()?;
+        write(&database, Durability::Immediate, &[(TEST_WRITE, vec![0; TEST_WRITE_BYTES])])?;
+        let transaction = database.begin_write()?;
+        transaction.open_table(META)?.remove(TEST_WRITE)?;
+        transaction.commit()?;
+        Ok(store)
+    }
+
+    /// Closes the database once the operations in progress have ended. All later operations fail.
+    pub fn close(&self) {
+        self.database.write().unwrap_or_else(PoisonError::into_inner).take();
+    }
+
+    fn database(&self) -> Result<Arc<Database>, StoreError> {
+        let database = self.database.read().unwrap_or_else(PoisonError::into_inner);
+        database.clone().ok_or(StoreError::Closed)
     }
 
     /// Returns the ID of the replica.
     pub fn id(&self) -> Result<ReplicaId, StoreError> {
-        Ok(read(&self.database, ID)?.unwrap_or_default())
+        Ok(read(&*self.database()?, ID)?.unwrap_or_default())
     }
 
     /// Returns the size of the database file in bytes.
@@ -177,7 +239,7 @@
         &self,
         operation: impl FnOnce(&Database) -> Result<T, StoreError> + Send + 'static,
     ) -> Result<T, StoreError> {
-        let database = self.database.clone();
+        let database = self.database()?;
         tokio::task::spawn_blocking(move || operation(&database)).await.unwrap_or(Err(StoreError::Cancelled))
     }
 
