Complete what a call has begun in a replica, whether its caller stays or goes

Callers saw: after 'registry lead PEER' whose process was killed 0.15 s later, the former leader could not lead again. With one other replica lost no write was accepted for as long as was watched, and nothing showed it before. Cause: the handler of a call ran on the task of its connection, so it was dropped at its next await when the caller closed. The lines that resume the leader's messages and clear 'transferring' stood at the end of transfer_leadership and were never reached. A membership change that was dropped, or whose leader died, between openraft's two steps stayed joint, which needs a majority of both sets of voters. Change: the leader executes every operation on a task of its own. A guard resumes messages and clears the flag when a transfer ends in any way. A leader completes a joint membership that no operation of its own is changing. Why it works: a caller can no longer end an execution, and the guard is dropped on every path, a panic included. That a joint membership is completed is exercised by the soak's dropped removals only; it has no test of its own.

--- a/cli/tests/registry/faults.rs
+++ b/cli/tests/registry/faults.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use flaxdale_registry::wire::Listing;
+use rustix::process::Signal;
 use serde_json::{Value, json};
 use tokio::time::{sleep, timeout};
 
 use crate::cluster::{Cluster, Writer, registration};
-use crate::{LONG_LEASES, check_consistency, start_watchers};
+use crate::{LONG_LEASES, check_consistency, flaxdale, flaxdale_command, start_watchers};
 
 /// Time within which writes are accepted while a majority of the stores works.
 const WRITES_CONTINUE_WITHIN: Duration = Duration::from_secs(5);
@@ -115,3 +116,30 @@
         check_consistency(&cluster, writer, watchers).await;
     }
 }
+
+/// A transfer of leadership whose caller goes away must not leave the former leader unable to lead.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leadership_transfer_whose_caller_goes_away_leaves_every_replica_able_to_lead() {
+    let cluster = Cluster::start(3, LONG_LEASES).await;
+    let first = cluster.wait_ready().await;
+    let [second, third] = [(first + 1) % 3, (first + 2) % 3];
+    let peer = |at: usize| cluster.replicas[at].peer.to_string();
+    let address = cluster.replicas[first].client;
+    let mut caller = flaxdale_command(&["lead", &peer(second)])
+        .args(["--at", &address.to_string()])
+        .spawn()
+        .expect("a process");
+    sleep(Duration::from_millis(150)).await;
+    caller.kill().expect("a killed process");
+    caller.wait().expect("an exited process");
+    sleep(Duration::from_secs(2)).await;
+    let now_leads = cluster.wait_ready().await;
+    if now_leads != first {
+        let (success, text) = flaxdale(&cluster, &["lead", &peer(first)]);
+        assert!(success, "leadership must move back: {text}\n{}", cluster.logs());
+        assert_eq!(cluster.wait_ready().await, first);
+    }
+    cluster.signal(third, Signal::STOP);
+    register_within(&cluster, &[first, second], "two-of-three", WRITES_CONTINUE_WITHIN).await;
+    cluster.signal(third, Signal::CONT);
+}
--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -154,7 +154,11 @@
     raft_response(installed.map_err(RaftError::<ReplicaId>::Fatal))
 }
 
-async fn dispatch(replica: &Replica, operation: Operation, origin: Origin) -> Result<Response, ApiError> {
+async fn dispatch(
+    replica: &Arc<Replica>,
+    operation: Operation,
+    origin: Origin,
+) -> Result<Response, ApiError> {
     replica.dispatch(operation, origin).await.map(|result: Value| json(&result))
 }
 
--- a/registry/src/replica/leadership.rs
+++ b/registry/src/replica/leadership.rs
@@ -40,6 +40,7 @@
                 self.begin_term(term).await;
             } else {
                 self.expire_leases().await;
+                tokio::spawn(self.clone().complete_membership_change());
             }
             sleep(check_interval).await;
         }
--- a/registry/src/replica/membership.rs
+++ b/registry/src/replica/membership.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use openraft::ChangeMembers;
@@ -16,6 +16,42 @@
 };
 use crate::raft::{Place, ReplicaId};
 
+/// Counts an operation for as long as it exists.
+struct CountGuard<'a>(&'a AtomicUsize);
+
+impl<'a> CountGuard<'a> {
+    fn increment(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Suspends the messages of the leader and rejects writes for as long as it exists.
+struct TransferGuard<'a>(&'a Replica);
+
+impl<'a> TransferGuard<'a> {
+    fn acquire(replica: &'a Replica) -> Result<Self, ApiError> {
+        if replica.transferring.swap(true, Ordering::Relaxed) {
+            return Err(ApiError::unavailable("leadership is being transferred"));
+        }
+        replica.peers.set_suspended(true);
+        Ok(Self(replica))
+    }
+}
+
+impl Drop for TransferGuard<'_> {
+    fn drop(&mut self) {
+        self.0.peers.set_suspended(false);
+        self.0.transferring.store(false, Ordering::Relaxed);
+    }
+}
+
 impl Replica {
     /// Returns all members, including learners.
     pub(super) fn members(&self) -> BTreeMap<ReplicaId, Place> {
@@ -48,12 +84,27 @@
         &self,
         change: ChangeMembers<ReplicaId, Place>,
     ) -> Result<Value, ApiError> {
+        let _changing = CountGuard::increment(&self.membership_changes);
         let changed = timeout(CATCH_UP_TIMEOUT, self.raft().change_membership(change, false)).await;
         let changed = changed.map_err(|_| ApiError::outcome_unknown("membership change"))?;
         changed.map_err(|error| ApiError::unavailable(error.to_string()))?;
         Ok(json!({"replicas": self.members().len()}))
     }
 
+    /// Completes a membership change that was interrupted, by a failure of the former leader or a timeout, between its
+    /// two steps. Until then a majority of both the former and the new voters is needed.
+    pub(super) async fn complete_membership_change(self: Arc<Self>) {
+        let is_joint = self.raft_metrics().membership_config.membership().get_joint_config().len() > 1;
+        if !is_joint || self.membership_changes.load(Ordering::Relaxed) > 0 {
+            return;
+        }
+        tracing::info!("completing an interrupted membership change");
+        let no_change = ChangeMembers::AddVoterIds(BTreeSet::new());
+        if let Err(error) = self.change_membership(no_change).await {
+            tracing::warn!(cause = error.message, "the membership change could not be completed");
+        }
+    }
+
     /// Adds a running replica that belongs to no registry yet.
     pub(super) async fn add_replica(&self, peer: SocketAddr) -> Result<Value, ApiError> {
         let identity: ReplicaIdentity =
@@ -114,11 +165,8 @@
         if !self.voters().contains(&target) {
             return Err(ApiError::new(409, format!("replica {peer} is not a voter")));
         }
-        if self.transferring.swap(true, Ordering::Relaxed) {
-            return Err(ApiError::unavailable("leadership is being transferred"));
-        }
+        let _transfer = TransferGuard::acquire(self)?;
         tracing::info!(replica = target, %peer, "transferring leadership");
-        self.peers.set_suspended(true);
         sleep(Duration::from_millis(2 * self.settings.election_ms + self.settings.heartbeat_ms / 2)).await;
         let elected: Result<Value, ApiError> =
             self.call_peer(peer, Some(target), ELECT_PATH, &json!({}), CONFIRM_TIMEOUT).await;
@@ -126,8 +174,6 @@
         let transferred = transferred
             .metrics(|metrics| metrics.current_leader == Some(target), "leadership transfer")
             .await;
-        self.peers.set_suspended(false);
-        self.transferring.store(false, Ordering::Relaxed);
         elected?;
         transferred.map_err(|_| ApiError::unavailable(format!("replica {peer} was not elected")))?;
         Ok(json!({"leader": peer}))
--- a/registry/src/replica/mod.rs
+++ b/registry/src/replica/mod.rs
@@ -203,6 +203,8 @@
     started_at: Instant,
     /// Whether leadership is being transferred to another replica.
     transferring: AtomicBool,
+    /// Number of membership changes in progress on this replica.
+    membership_changes: AtomicUsize,
     confirmation_queue: mpsc::Sender<PendingConfirmation>,
     write_queue: mpsc::Sender<PendingWrite>,
     /// Renewals to be forwarded to the leader.
@@ -247,6 +249,7 @@
             list_as_of: Mutex::default(),
             started_at: Instant::now(),
             transferring: AtomicBool::new(false),
+            membership_changes: AtomicUsize::new(0),
             confirmation_queue,
             write_queue,
             renewal_queue,
@@ -345,10 +348,14 @@
     }
 
     /// Executes an operation if this replica is the leader, and sends it towards the leader otherwise, as far as its
-    /// origin allows.
-    pub async fn dispatch(&self, operation: Operation, origin: Origin) -> Result<Value, ApiError> {
+    /// origin allows. Once begun, the execution is completed even if the caller goes away.
+    pub async fn dispatch(self: &Arc<Self>, operation: Operation, origin: Origin) -> Result<Value, ApiError> {
         let result = match self.leader() {
-            Some((leader, _)) if leader == self.id => self.execute(operation).await,
+            Some((leader, _)) if leader == self.id => {
+                let replica = self.clone();
+                let execution = tokio::spawn(async move { replica.execute(operation).await });
+                execution.await.unwrap_or_else(|error| Err(ApiError::new(500, error.to_string())))
+            }
             Some((leader, place)) if origin != Origin::Forwarded => match operation {
                 Operation::Renew(renewal) => self.forward_renewal(renewal).await,
                 operation => self.forward(leader, place, &operation).await,
