End leases only with a quorum, and step aside without one in a loop of its own

Callers saw: a leader that sends but receives nothing blocked the registry while leases ran out: no write was accepted anywhere for a minute, and the next leader went on without instances that the former one could not hear renewing. Cause: one loop kept leases and heartbeats. It awaited the commands of expired leases one after another, 2 s each, so should_suspend was not asked while heartbeats went on. And leases ended on the leader's clock alone: their commands reached the others, who committed them in the next term. Change: watch_quorum_contact suspends the leader's messages and awaits only the time. Leases end only up to a time after which a quorum has confirmed the leader. After 0.5 s without a confirmation, in which renewals may have been lost, all leases get their full duration. The commands of one check are replicated together. Why it works: a leader that hears nobody is never confirmed, so it ends nothing, and no wait delays its step aside.

--- a/cli/tests/registry/faults.rs
+++ b/cli/tests/registry/faults.rs
@@ -143,3 +143,27 @@
     register_within(&cluster, &[first, second], "two-of-three", WRITES_CONTINUE_WITHIN).await;
     cluster.signal(third, Signal::CONT);
 }
+
+/// A leader that sends but does not receive must let another be elected, however many leases run out meanwhile, and
+/// must not remove instances whose renewals it cannot receive.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_receives_nothing_steps_aside_and_ends_no_lease() {
+    let settings = "lease_ms = 6000\nbelieved_share = 1.0\nbelieved_count = 1000";
+    let cluster = Cluster::start(3, settings).await;
+    let leader = cluster.wait_ready().await;
+    for number in 0..60 {
+        cluster.register(&format!("s{number}"), 1).await;
+    }
+    let lives: Vec<Value> =
+        (0..60).map(|number| json!({"uid": format!("s{number}"), "boot_ms": 1})).collect();
+    let mut client = cluster.client_of_all();
+    client.post::<Value>("/registry/renew", &json!({ "lives": lives })).await.expect("a renewal");
+    sleep(Duration::from_millis(5_700)).await;
+    let others: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
+    others.iter().for_each(|other| cluster.set_link_cut(*other, leader, true));
+    register_within(&cluster, &others, "during", WRITES_CONTINUE_WITHIN).await;
+    let mut majority = cluster.client(others[0]);
+    let list: Listing = majority.get("/registry/instances?current=true").await.expect("a list");
+    assert_eq!(list.targets.len(), 61, "a leader without a quorum removed instances\n{}", cluster.logs());
+    others.iter().for_each(|other| cluster.set_link_cut(*other, leader, false));
+}
--- a/registry/src/leases.rs
+++ b/registry/src/leases.rs
@@ -11,6 +11,10 @@
 /// Nanoseconds on the leader's monotonic clock.
 pub type Nanos = u64;
 
+/// Time between two confirmations by a quorum after which renewals may have been lost. The leader is confirmed several
+/// times within it, whether or not instances renew.
+const MAX_QUORUM_GAP: Nanos = 500_000_000;
+
 /// When an expired lease is treated as the failure of its instance.
 #[derive(Clone, Copy, Debug)]
 pub struct LeasePolicy {
@@ -56,14 +60,21 @@
     /// Times of the removals within the last lease duration, by zone.
     recent_removals: BTreeMap<String, Vec<Nanos>>,
     last_check: Nanos,
+    /// The last time at which a quorum confirmed the leader.
+    last_quorum: Nanos,
 }
 
 impl Leases {
     /// Creates the leases of a new leader. Every lease starts with its full duration, because renewals may have failed
     /// while there was no leader.
     pub fn new(policy: LeasePolicy, list: &List, now: Nanos) -> Self {
-        let mut leases =
-            Self { policy, leases: BTreeMap::new(), recent_removals: BTreeMap::new(), last_check: now };
+        let mut leases = Self {
+            policy,
+            leases: BTreeMap::new(),
+            recent_removals: BTreeMap::new(),
+            last_check: now,
+            last_quorum: now,
+        };
         leases.sync(list, now);
         leases
     }
@@ -115,17 +126,44 @@
         }
     }
 
-    /// Checks for expired leases and returns the commands to be replicated. Must be called several times within the
-    /// duration of a lease.
+    /// Records that a quorum has confirmed the leader. After a gap in these confirmations, renewals may have been lost
+    /// on the way to the leader, so all leases are extended to their full duration.
+    pub fn confirm_quorum(&mut self, now: Nanos) {
+        if now.saturating_sub(self.last_quorum) >= MAX_QUORUM_GAP {
+            self.extend_all(now);
+        }
+        self.last_quorum = self.last_quorum.max(now);
+    }
+
+    /// Returns whether any lease has expired, or any suspect has been held for its time. Must be called several times
+    /// within the duration of a lease.
     ///
     /// If the last check was half a lease or more ago, the leader itself was paused and may have missed renewals. Then
     /// all leases are extended to their full duration.
-    pub fn expire(&mut self, list: &List, now: Nanos) -> Vec<Command> {
-        let paused = now.saturating_sub(self.last_check) >= self.policy.lease / 2;
+    pub fn check(&mut self, now: Nanos) -> bool {
+        if now.saturating_sub(self.last_check) >= self.policy.lease / 2 {
+            self.extend_all(now);
+        }
         self.last_check = self.last_check.max(now);
-        if paused {
-            let expires_at = now.saturating_add(self.policy.lease);
-            self.leases.values_mut().for_each(|lease| lease.expires_at = lease.expires_at.max(expires_at));
+        self.leases.values().any(|lease| self.is_expired(lease, now) || self.is_hold_over(lease, now))
+    }
+
+    fn is_expired(&self, lease: &Lease, now: Nanos) -> bool {
+        lease.expires_at <= now && lease.suspect_since.is_none()
+    }
+
+    fn is_hold_over(&self, lease: &Lease, now: Nanos) -> bool {
+        lease.suspect_since.is_some_and(|since| now.saturating_sub(since) >= self.policy.hold)
+    }
+
+    fn extend_all(&mut self, now: Nanos) {
+        let expires_at = now.saturating_add(self.policy.lease);
+        self.leases.values_mut().for_each(|lease| lease.expires_at = lease.expires_at.max(expires_at));
+    }
+
+    /// Checks the leases as [`Self::check`] does and returns the commands to be replicated for those that have expired.
+    pub fn expire(&mut self, list: &List, now: Nanos) -> Vec<Command> {
+        if !self.check(now) {
             return Vec::new();
         }
         let mut zone_sizes: BTreeMap<&str, usize> = BTreeMap::new();
@@ -134,9 +172,8 @@
         for line in list.lines() {
             let (uid, zone) = (line.instance.uid.as_str(), line.instance.zone.as_str());
             *zone_sizes.entry(zone).or_default() += 1;
-            let is_expired = |lease: &Lease| lease.expires_at <= now && lease.suspect_since.is_none();
             let lease = self.leases.get(uid);
-            if lease.is_some_and(is_expired) {
+            if lease.is_some_and(|lease| self.is_expired(lease, now)) {
                 expired.entry(zone).or_default().push(uid);
             }
             *suspects.entry(zone).or_default() +=
@@ -167,10 +204,7 @@
                 commands.push(Command::Suspect(keys));
             }
         }
-        let hold_is_over = |lease: &Lease| {
-            lease.suspect_since.is_some_and(|since| now.saturating_sub(since) >= self.policy.hold)
-        };
-        let overdue = self.leases.iter().filter(|(_, lease)| hold_is_over(lease));
+        let overdue = self.leases.iter().filter(|(_, lease)| self.is_hold_over(lease, now));
         commands
             .extend(overdue.map(|(uid, lease)| Command::Leave { uid: uid.clone(), boot_ms: lease.boot_ms }));
         self.recent_removals.retain(|_, times| !times.is_empty());
--- a/registry/src/replica/consensus.rs
+++ b/registry/src/replica/consensus.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use openraft::error::{CheckIsLeaderError, ClientWriteError, RaftError};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until, timeout};
@@ -31,6 +32,19 @@
         self.propose(command).await
     }
 
+    /// Replicates commands and waits until all are applied. Returns the first error; the other commands are replicated
+    /// nevertheless.
+    pub(super) async fn write_all(&self, commands: Vec<Command>) -> Result<(), ApiError> {
+        let mut batches = commands.into_iter().peekable();
+        let mut result = Ok(());
+        while batches.peek().is_some() {
+            let writes = batches.by_ref().take(MAX_BATCH).map(|command| self.write(command));
+            let outcomes = join_all(writes).await;
+            result = outcomes.into_iter().fold(result, |result, outcome| result.and(outcome.map(|_| ())));
+        }
+        result
+    }
+
     /// Like [`Self::write`], but allowed before the leader has created its leases.
     pub(super) async fn propose(&self, command: Command) -> Result<Rev, ApiError> {
         self.check_store()?;
@@ -135,6 +149,9 @@
             };
             if confirmation.is_ok() {
                 self.advance_list_as_of(started_at);
+                if let Some(leadership) = lock(&self.leadership).as_mut() {
+                    leadership.leases.confirm_quorum(self.now());
+                }
             }
             for reply in replies {
                 let _ = reply.send(confirmation.clone());
--- a/registry/src/replica/leadership.rs
+++ b/registry/src/replica/leadership.rs
@@ -1,4 +1,5 @@
-//! The leader's duties during its term: leases, and stepping aside when no quorum responds.
+//! The leader's duties during its term: leases, and stepping aside when no quorum responds. Each has a loop of its own,
+//! so that a leader without a quorum steps aside in time, whatever its leases wait for.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -22,20 +23,14 @@
     /// While this replica is the leader, checks its leases periodically and replicates the resulting commands.
     pub(super) async fn run_leadership(self: Arc<Self>) {
         let check_interval = Duration::from_millis((self.settings.lease_ms / 20).clamp(50, 250));
-        let mut last_quorum_contact = Instant::now();
         loop {
             let Some(term) = self.leading_term() else {
                 if lock(&self.leadership).take().is_some() {
                     tracing::info!("leadership lost");
                 }
-                self.update_suspension(false);
-                last_quorum_contact = Instant::now();
                 let _ = timeout(check_interval, self.raft().server_metrics().changed()).await;
                 continue;
             };
-            last_quorum_contact = lock(&self.list_as_of)
-                .map_or(last_quorum_contact, |list_as_of| list_as_of.max(last_quorum_contact));
-            self.update_suspension(self.should_suspend(last_quorum_contact.elapsed()));
             if lock(&self.leadership).as_ref().is_none_or(|leadership| leadership.term != term) {
                 self.begin_term(term).await;
             } else {
@@ -46,10 +41,29 @@
         }
     }
 
+    /// While this replica is the leader, suspends its messages if no quorum confirms it. Awaits nothing but the time.
+    pub(super) async fn watch_quorum_contact(self: Arc<Self>) {
+        let check_interval = Duration::from_millis(self.settings.election_ms / 4);
+        let mut last_quorum_contact = Instant::now();
+        loop {
+            if self.leading_term().is_some() {
+                last_quorum_contact = lock(&self.list_as_of)
+                    .map_or(last_quorum_contact, |list_as_of| list_as_of.max(last_quorum_contact));
+                // What is due before the next check is done now.
+                let until_next_check = last_quorum_contact.elapsed() + check_interval;
+                self.update_suspension(self.should_suspend(until_next_check));
+            } else {
+                last_quorum_contact = Instant::now();
+                self.update_suspension(false);
+            }
+            sleep(check_interval).await;
+        }
+    }
+
     /// Returns whether a leader without quorum contact for this long should suspend its messages. If only the responses
     /// are lost, its heartbeats would keep the other replicas from electing another leader. It resumes periodically, to
     /// detect when the connection has recovered.
-    pub(super) fn should_suspend(&self, since_quorum: Duration) -> bool {
+    fn should_suspend(&self, since_quorum: Duration) -> bool {
         let election = Duration::from_millis(self.settings.election_ms);
         let (grace, cycle) = (election * 4, election * 16);
         since_quorum > grace && since_quorum.as_millis() % cycle.as_millis() >= grace.as_millis()
@@ -106,18 +120,39 @@
         *lock(&self.leadership) = Some(Leadership { term, leases });
     }
 
-    /// Checks the leases and replicates the commands for those that have expired.
+    /// Checks the leases and replicates the commands for those that have expired. Expiry counts only up to a time after
+    /// which a quorum has confirmed the leader: one that hears nobody receives no renewals.
     pub(super) async fn expire_leases(&self) {
-        let commands = {
+        let checked_at = self.now();
+        let any_expired = {
             let mut leadership = lock(&self.leadership);
             let Some(leadership) = leadership.as_mut() else { return };
-            let (state, now) = (self.shared.read(), self.now());
-            leadership.leases.sync(&state.list, now);
-            leadership.leases.expire(&state.list, now)
+            leadership.leases.sync(&self.shared.read().list, checked_at);
+            leadership.leases.check(checked_at)
         };
-        for command in commands {
-            self.metrics.lapses.inc();
-            match &command {
+        if !any_expired {
+            return;
+        }
+        let confirmation = match self.confirm_leadership().await {
+            Ok(confirmation) => confirmation,
+            Err(error) => {
+                tracing::debug!(cause = error.message, "expired leases are kept without a quorum");
+                return;
+            }
+        };
+        let commands = {
+            let mut leadership = lock(&self.leadership);
+            let leadership = leadership.as_mut().filter(|leadership| leadership.term == confirmation.term);
+            let Some(leadership) = leadership else { return };
+            leadership.leases.expire(&self.shared.read().list, checked_at)
+        };
+        self.replicate_expiry(commands).await;
+    }
+
+    async fn replicate_expiry(&self, commands: Vec<Command>) {
+        self.metrics.lapses.inc_by(commands.len() as u64);
+        for command in &commands {
+            match command {
                 Command::Suspect(keys) => {
                     tracing::warn!(
                         count = keys.len(),
@@ -127,9 +162,9 @@
                 Command::Leave { uid, .. } => tracing::info!(uid, "lease expired: removing instance"),
                 _ => {}
             }
-            if let Err(error) = self.write(command).await {
-                tracing::warn!(cause = error.message, "expired lease could not be replicated");
-            }
+        }
+        if let Err(error) = self.write_all(commands).await {
+            tracing::warn!(cause = error.message, "expired lease could not be replicated");
         }
     }
 
@@ -176,11 +211,9 @@
         if commands.is_empty() {
             return Err(ApiError::new(404, format!("zone {:?} has no suspects", decision.zone)));
         }
-        let mut concerned = 0;
-        for command in commands {
-            concerned += if let Command::Clear(keys) = &command { keys.len() } else { 1 };
-            self.write(command).await?;
-        }
+        let count = |command: &Command| if let Command::Clear(keys) = command { keys.len() } else { 1 };
+        let concerned: usize = commands.iter().map(count).sum();
+        self.write_all(commands).await?;
         Ok(json!({"rev": self.rev(), "concerned": concerned}))
     }
 }
--- a/registry/src/replica/mod.rs
+++ b/registry/src/replica/mod.rs
@@ -261,6 +261,7 @@
         tokio::spawn(replica.clone().process_writes(write_receiver));
         tokio::spawn(replica.clone().process_renewals(renewal_receiver));
         tokio::spawn(replica.clone().run_leadership());
+        tokio::spawn(replica.clone().watch_quorum_contact());
         tokio::spawn(replica.clone().refresh_list_age());
         tokio::spawn(replica.clone().recover_store());
         replica.spawn_node_tasks();
--- a/registry/tests/leases.rs
+++ b/registry/tests/leases.rs
@@ -142,6 +142,23 @@
     assert_eq!(simulate(&mut list, &mut leases, 49, 50, |_| false).len(), 1);
 }
 
+/// Guards against a leader that removes instances whose renewals could not reach it.
+#[test]
+fn leases_are_extended_after_a_gap_in_which_no_quorum_confirmed_the_leader() {
+    let mut list = list(&[("a", 10)]);
+    let mut leases = Leases::new(policy(), &list, 0);
+    for tenth in 0..50 {
+        leases.confirm_quorum(tenth * SECOND / 10);
+        leases.check(tenth * SECOND / 10);
+    }
+    assert!(leases.check(6 * SECOND), "without a gap the leases run out at 6 s");
+    leases.confirm_quorum(61 * SECOND / 10);
+    assert!(!leases.check(62 * SECOND / 10), "the gap from 5 s to 6.1 s has extended all leases");
+    assert!(leases.expire(&list, 62 * SECOND / 10).is_empty());
+    assert!(simulate(&mut list, &mut leases, 7, 12, |_| false).is_empty());
+    assert_eq!(simulate(&mut list, &mut leases, 13, 14, |_| false).len(), 1);
+}
+
 #[test]
 fn an_operator_can_declare_suspects_alive_or_gone() {
     for (alive, remaining) in [(true, 10), (false, 0)] {
