Drop queued commands whose callers have given up

Callers saw: while a quorum was missing, commands queued behind batches that wait 2 s each. Their callers were told that the outcome is unknown and tried again, and the old commands were replicated later all the same, after newer ones. Cause: process_writes submitted every command that it took from the queue, whether anybody still waited for it. Change: a command whose reply nobody awaits is not submitted. Why it works: the receiver of the reply is dropped when write() times out, and the batch of a queued command is made after that. What is left is the batch in flight and the one made in that moment, whose outcome is unknown to its callers as they were told.

--- a/cli/tests/registry/faults.rs
+++ b/cli/tests/registry/faults.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use flaxdale_registry::client::ClientError;
 use flaxdale_registry::wire::Listing;
 use rustix::process::Signal;
 use serde_json::{Value, json};
@@ -167,3 +168,30 @@
     assert_eq!(list.targets.len(), 61, "a leader without a quorum removed instances\n{}", cluster.logs());
     others.iter().for_each(|other| cluster.set_link_cut(*other, leader, false));
 }
+
+/// Commands whose callers were told that the outcome is unknown must not be replicated later, behind others.
+#[tokio::test(flavor = "multi_thread")]
+async fn commands_that_wait_for_a_quorum_longer_than_their_callers_are_dropped() {
+    /// Number of commands in a log entry. One entry waits for the quorum, and the next is made as that one times out.
+    const BATCH: usize = 128;
+    // The leader stays the leader for as long as the others are paused.
+    let cluster = Cluster::start(3, "lease_ms = 600000\nelection_ms = 2000").await;
+    let leader = cluster.wait_ready().await;
+    let others: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
+    others.iter().for_each(|at| cluster.signal(*at, Signal::STOP));
+    let writes = (0..4 * BATCH).map(|number| {
+        let mut client = cluster.client(leader);
+        tokio::spawn(async move {
+            client.post::<Value>("/registry/register", &registration(&format!("w-{number}"), 1)).await
+        })
+    });
+    for write in writes.collect::<Vec<_>>() {
+        let outcome = write.await.expect("the call ended");
+        assert!(matches!(outcome, Err(ClientError::Unavailable(_))), "{outcome:?}");
+    }
+    others.iter().for_each(|at| cluster.signal(*at, Signal::CONT));
+    cluster.wait_ready().await;
+    cluster.register("last", 1).await;
+    let list = cluster.converged_list().await;
+    assert!(list.targets.len() <= 2 * BATCH + 1, "{} commands were replicated", list.targets.len());
+}
--- a/registry/src/replica/consensus.rs
+++ b/registry/src/replica/consensus.rs
@@ -72,12 +72,18 @@
     /// Replicates queued commands, in batches of one log entry each.
     pub(super) async fn process_writes(self: Arc<Self>, mut receiver: mpsc::Receiver<PendingWrite>) {
         while let Some(first) = receiver.recv().await {
-            let (mut commands, mut replies) = (vec![first.0], vec![first.1]);
-            while commands.len() < MAX_BATCH
-                && let Ok((command, reply)) = receiver.try_recv()
-            {
-                commands.push(command);
-                replies.push(reply);
+            let (mut commands, mut replies) = (Vec::new(), Vec::new());
+            let mut next = Some(first);
+            while let Some((command, reply)) = next {
+                // A caller that got no response in time has been told so and retries.
+                if !reply.is_closed() {
+                    commands.push(command);
+                    replies.push(reply);
+                }
+                next = if commands.len() < MAX_BATCH { receiver.try_recv().ok() } else { None };
+            }
+            if commands.is_empty() {
+                continue;
             }
             let batch_size = commands.len() as u64;
             self.metrics.commands.inc_by(batch_size);
