Keep log entries small enough to be stored within a heartbeat

Cause: openraft gives a replica heartbeat_ms (100 ms) to answer a message with entries. A message had up to 512 KiB, and one entry up to 128 commands of any size, such as 128 parts of a backup. A replica that cannot decode and store that in time is sent the same again and again. Change: a message has up to 64 KiB of entries, an entry takes no further command from an estimated 64 KiB on, and at most 500 instances are marked or cleared by one command. One part of a backup (200 lines) is still one entry.

--- a/registry/src/leases.rs
+++ b/registry/src/leases.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::list::{Command, List};
+use crate::list::{Command, List, MAX_KEYS};
 
 /// Nanoseconds on the leader's monotonic clock.
 pub type Nanos = u64;
@@ -119,7 +119,7 @@
         }
         match (alive, resolved.is_empty()) {
             (_, true) => Vec::new(),
-            (true, false) => vec![Command::Clear(resolved)],
+            (true, false) => resolved.chunks(MAX_KEYS).map(|keys| Command::Clear(keys.to_vec())).collect(),
             (false, false) => {
                 resolved.into_iter().map(|(uid, boot_ms)| Command::Leave { uid, boot_ms }).collect()
             }
@@ -201,7 +201,7 @@
                     let lease = self.leases.get_mut(uid);
                     lease.into_iter().for_each(|lease| lease.suspect_since = Some(now));
                 }
-                commands.push(Command::Suspect(keys));
+                commands.extend(keys.chunks(MAX_KEYS).map(|keys| Command::Suspect(keys.to_vec())));
             }
         }
         let overdue = self.leases.iter().filter(|(_, lease)| self.is_hold_over(lease, now));
--- a/registry/src/list.rs
+++ b/registry/src/list.rs
@@ -14,6 +14,11 @@
 pub const MAX_HISTORY: usize = 10_000;
 /// Maximum number of lines in a part of a backup, which is replicated as one log entry.
 pub const MAX_PART_LINES: usize = 200;
+/// Maximum number of instances that one command marks or clears.
+pub const MAX_KEYS: usize = 500;
+/// Approximate sizes of a line and of a name with its start time in the log.
+const LINE_BYTES: usize = 400;
+const KEY_BYTES: usize = 100;
 /// A revision of the list.
 pub type Rev = u64;
 
@@ -111,6 +116,18 @@
     },
 }
 
+impl Command {
+    /// Returns the approximate size of the command in the log.
+    pub fn estimated_bytes(&self) -> usize {
+        match self {
+            Self::Register(_) => LINE_BYTES,
+            Self::Drain { .. } | Self::Leave { .. } | Self::Begin { .. } => KEY_BYTES,
+            Self::Suspect(keys) | Self::Clear(keys) => KEY_BYTES * keys.len(),
+            Self::Restore { lines, .. } => LINE_BYTES * lines.len(),
+        }
+    }
+}
+
 /// Why a command changed nothing.
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum ListError {
--- a/registry/src/replica/consensus.rs
+++ b/registry/src/replica/consensus.rs
@@ -20,6 +20,9 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of commands in a log entry.
 const MAX_BATCH: usize = 128;
+/// Estimated size of a log entry from which on it takes no further command. A replica has to receive and store an entry
+/// within a heartbeat; one that cannot would be sent the same entry again and again.
+const MAX_BATCH_BYTES: usize = 64 * 1024;
 /// Interval at which a replica confirms how current its list is.
 const AGE_REFRESH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -72,15 +75,17 @@
     /// Replicates queued commands, in batches of one log entry each.
     pub(super) async fn process_writes(self: Arc<Self>, mut receiver: mpsc::Receiver<PendingWrite>) {
         while let Some(first) = receiver.recv().await {
-            let (mut commands, mut replies) = (Vec::new(), Vec::new());
+            let (mut commands, mut replies, mut bytes) = (Vec::new(), Vec::new(), 0);
             let mut next = Some(first);
             while let Some((command, reply)) = next {
                 // A caller that got no response in time has been told so and retries.
                 if !reply.is_closed() {
+                    bytes += command.estimated_bytes();
                     commands.push(command);
                     replies.push(reply);
                 }
-                next = if commands.len() < MAX_BATCH { receiver.try_recv().ok() } else { None };
+                let has_room = commands.len() < MAX_BATCH && bytes < MAX_BATCH_BYTES;
+                next = if has_room { receiver.try_recv().ok() } else { None };
             }
             if commands.is_empty() {
                 continue;
--- a/registry/src/replica/leadership.rs
+++ b/registry/src/replica/leadership.rs
@@ -11,7 +11,7 @@
 
 use super::{ApiError, Leadership, Replica, lock, unix_s};
 use crate::leases::Leases;
-use crate::list::{Command, revision_floor};
+use crate::list::{Command, MAX_KEYS, revision_floor};
 use crate::wire::{InstanceKey, Renewal, RenewalResponse, SuspectDecision};
 
 impl Replica {
@@ -190,9 +190,8 @@
             }
         }
         self.metrics.renewals.inc_by((renewal.lives.len() - unknown.len()) as u64);
-        if !cleared_suspects.is_empty() {
-            self.write(Command::Clear(cleared_suspects)).await?;
-        }
+        let commands = cleared_suspects.chunks(MAX_KEYS).map(|keys| Command::Clear(keys.to_vec()));
+        self.write_all(commands.collect()).await?;
         serde_json::to_value(RenewalResponse { lease_ms: self.settings.lease_ms, unknown })
             .map_err(|error| ApiError::new(500, error.to_string()))
     }
--- a/registry/src/store.rs
+++ b/registry/src/store.rs
@@ -29,8 +29,8 @@
 const FILE_NAME: &str = "registry.redb";
 /// Size of the database's page cache.
 const CACHE_BYTES: usize = 16 * 1024 * 1024;
-/// Limit of the entries that are read for one replication message.
-const MAX_READ_BYTES: usize = 512 * 1024;
+/// Limit of the entries that are read for one replication message, which a replica has to store within a heartbeat.
+const MAX_READ_BYTES: usize = 64 * 1024;
 /// Key of the value that is written to test a store that had failed.
 const TEST_WRITE: &str = "test-write";
 /// Size of that value. The space stays in the file, so that the next writes do not fail at once.
