Take backups and lists for operators only with every acknowledged write

Callers saw: 'registry backup' at a replica that was behind succeeded and lacked a write that the others had acknowledged, so a restore of that file lost it. Cause: GET /registry/backup read the replica's own state, and so did the list that 'list', 'drain' and 'leave' go by. Evidence: the new test (one replica paused, a write acknowledged by the others, these paused, the first resumed) failed before: 'a backup without an acknowledged write: ... 1 instances'. Change: a backup, and a list with current=true, is answered after a leader confirmed by a quorum has told its commit index and that is applied here. Why it works: every acknowledged write is committed before the call, so its index is at most the one that the quorum confirms. Result: the new test passes.

--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -12,7 +12,9 @@
 use flaxdale_registry::list::MAX_PART_LINES;
 use flaxdale_registry::serve::{ServeError, serve};
 use flaxdale_registry::settings::Settings;
-use flaxdale_registry::wire::{Backup, BackupPart, InstanceKey, Listing, ReplicaChange, SuspectDecision};
+use flaxdale_registry::wire::{
+    Backup, BackupPart, InstanceKey, Listing, ReplicaChange, StaleBackup, SuspectDecision,
+};
 use serde_json::Value;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -41,6 +43,9 @@
     List {
         #[command(flatten)]
         at: RegistryAddress,
+        /// Show what one replica has, without confirmation by a quorum; acknowledged writes may be missing
+        #[arg(long)]
+        stale: bool,
         /// Print the list as JSON, in the format of the HTTP API
         #[arg(long)]
         json: bool,
@@ -70,9 +75,14 @@
         at: RegistryAddress,
     },
     /// Save the list to a backup file
+    ///
+    /// The backup has every write that was acknowledged before, or none is taken.
     Backup {
         /// Backup file to write; an existing file is replaced atomically
         file: PathBuf,
+        /// If no quorum of replicas can be reached, take what one replica has; acknowledged writes may be missing
+        #[arg(long)]
+        stale: bool,
         #[command(flatten)]
         at: RegistryAddress,
     },
@@ -194,21 +204,7 @@
                 let status: Value = at.client()?.get("/registry/status").await?;
                 Ok(if json { format!("{status:#}") } else { format_status(&status) })
             }
-            Self::List { at, json } => {
-                let list: Listing = at.client()?.get(INSTANCES_PATH).await?;
-                if json {
-                    return Ok(serde_json::to_string_pretty(&list).unwrap_or_default());
-                }
-                let mut text = format!("revision {}, {} instances", list.rev, list.targets.len());
-                for instance in &list.targets {
-                    let suspect = if instance.suspect { ", suspect" } else { "" };
-                    text.push_str(&format!(
-                        "\n{:<24} {:<22} {:<12} {:<12} {:?}{suspect}",
-                        instance.uid, instance.endpoint, instance.az, instance.model, instance.state
-                    ));
-                }
-                Ok(text)
-            }
+            Self::List { at, json, stale } => show_list(at, json, stale).await,
             Self::Drain { uid, at } => change_instance(at, "/registry/drain", &uid, "is draining").await,
             Self::Leave { uid, at } => change_instance(at, "/registry/leave", &uid, "was removed").await,
             Self::Suspects { zone, are, at } => {
@@ -216,12 +212,7 @@
                 let body: Value = at.client()?.post("/registry/suspects", &decision).await?;
                 Ok(format!("{} instances updated, revision {}", body["concerned"], body["rev"]))
             }
-            Self::Backup { file, at } => {
-                let backup: Backup = at.client()?.get("/registry/backup").await?;
-                write_backup(&file, &backup)
-                    .map_err(|error| CommandError::Usage(format!("{}: {error}", file.display())))?;
-                Ok(format!("{}: revision {}, {} instances", file.display(), backup.rev, backup.lines.len()))
-            }
+            Self::Backup { file, stale, at } => take_backup(&file, stale, at).await,
             Self::Restore { file, at } => restore(&file, at).await,
             Self::Add { peer, at } => change_replicas(at, ReplicaChange::Add(peer)).await,
             Self::Remove { peer, at } => change_replicas(at, ReplicaChange::Remove(peer)).await,
@@ -253,6 +244,39 @@
     }
 }
 
+async fn show_list(at: RegistryAddress, json: bool, stale: bool) -> Result<String, CommandError> {
+    let path = if stale { INSTANCES_PATH.to_owned() } else { current_list_path() };
+    let (list, age) = at.client()?.list(&path).await?;
+    if json {
+        return Ok(serde_json::to_string_pretty(&list).unwrap_or_default());
+    }
+    let mut text = format!("revision {}, {} instances", list.rev, list.targets.len());
+    if stale {
+        text.push_str(&format_staleness(age.map(|age| age.as_millis() as u64)));
+    }
+    for instance in &list.targets {
+        let suspect = if instance.suspect { ", suspect" } else { "" };
+        text.push_str(&format!(
+            "\n{:<24} {:<22} {:<12} {:<12} {:?}{suspect}",
+            instance.uid, instance.endpoint, instance.az, instance.model, instance.state
+        ));
+    }
+    Ok(text)
+}
+
+/// Says how far a list that no quorum has confirmed may be behind.
+fn format_staleness(max_age_ms: Option<u64>) -> String {
+    match max_age_ms {
+        Some(age) => format!("; the list may be {age} ms old and lack writes acknowledged since"),
+        None => "; the list may be of any age and lack acknowledged writes".to_owned(),
+    }
+}
+
+/// Returns the path of a list with every write that was acknowledged before.
+fn current_list_path() -> String {
+    format!("{INSTANCES_PATH}?current=true")
+}
+
 async fn change_instance(
     at: RegistryAddress,
     path: &str,
@@ -261,7 +285,7 @@
 ) -> Result<String, CommandError> {
     let mut client = at.client()?;
     // The key includes the start time, so that the change cannot apply to a restarted instance.
-    let list: Listing = client.get(INSTANCES_PATH).await?;
+    let list: Listing = client.get(&current_list_path()).await?;
     let instance = list.targets.into_iter().find(|instance| instance.uid == uid);
     let instance = instance.ok_or_else(|| ClientError::Rejected {
         status: 404,
@@ -280,6 +304,18 @@
     })
 }
 
+async fn take_backup(file: &Path, stale: bool, at: RegistryAddress) -> Result<String, CommandError> {
+    let path = if stale { "/registry/backup?stale=true" } else { "/registry/backup" };
+    let backup: Backup = at.client()?.get(path).await?;
+    write_backup(file, &backup)
+        .map_err(|error| CommandError::Usage(format!("{}: {error}", file.display())))?;
+    let text = format!("{}: revision {}, {} instances", file.display(), backup.rev, backup.lines.len());
+    Ok(match backup.stale {
+        None => text,
+        Some(StaleBackup { max_age_ms }) => text + &format_staleness(max_age_ms),
+    })
+}
+
 /// Writes a backup file atomically.
 fn write_backup(file: &Path, backup: &Backup) -> std::io::Result<()> {
     let directory =
--- a/cli/tests/registry/faults.rs
+++ b/cli/tests/registry/faults.rs
@@ -6,7 +6,7 @@
 use flaxdale_registry::wire::Listing;
 use rustix::process::Signal;
 use serde_json::{Value, json};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::cluster::{Cluster, Writer, registration};
 use crate::{LONG_LEASES, check_consistency, flaxdale, flaxdale_command, start_watchers};
@@ -195,3 +195,57 @@
     let list = cluster.converged_list().await;
     assert!(list.targets.len() <= 2 * BATCH + 1, "{} commands were replicated", list.targets.len());
 }
+
+/// A backup from a replica that is behind must not lack an acknowledged write.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_backup_has_every_acknowledged_write_or_is_refused() {
+    let cluster = Cluster::start(3, LONG_LEASES).await;
+    cluster.register("before", 1).await;
+    cluster.converged_list().await;
+    let leader = cluster.wait_ready().await;
+    let behind = (leader + 1) % 3;
+    let others: Vec<usize> = (0..3).filter(|at| *at != behind).collect();
+    cluster.signal(behind, Signal::STOP);
+    cluster.register("acknowledged", 1).await;
+    others.iter().for_each(|at| cluster.signal(*at, Signal::STOP));
+    cluster.signal(behind, Signal::CONT);
+    let (file, stale) = (cluster.folder.path().join("backup.json"), cluster.folder.path().join("stale.json"));
+    let at = cluster.replicas[behind].client.to_string();
+    let backup = |options: &[&str], file: &std::path::Path| {
+        let file = file.to_str().expect("a UTF-8 path");
+        let output =
+            flaxdale_command(&["backup", file, "--at", &at]).args(options).output().expect("a process");
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8_lossy(&text).into_owned())
+    };
+    let (success, text) = backup(&[], &file);
+    assert!(!success, "a backup without an acknowledged write: {text}");
+    assert!(!file.exists() && text.contains("--stale"), "{text}");
+    // Who has lost the quorum for good can take what a survivor has, with its age.
+    let (success, text) = backup(&["--stale"], &stale);
+    assert!(success && text.contains("may be"), "{text}");
+    let saved: Value =
+        serde_json::from_str(&std::fs::read_to_string(&stale).expect("a file")).expect("a backup");
+    assert!(saved["stale"]["max_age_ms"].as_u64().is_some_and(|age| age > 0), "{saved}");
+    let list = |options: &[&str]| {
+        let output = flaxdale_command(&["list", "--at", &at]).args(options).output().expect("a process");
+        (output.status.success(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    assert!(!list(&[]).0, "a list without an acknowledged write");
+    let (success, text) = list(&["--stale"]);
+    assert!(success && text.contains("before") && text.contains("may be"), "{text}");
+    for list in ["/registry/instances?current=true", "/registry/backup"] {
+        let refused = cluster.client(behind).get::<Value>(list).await;
+        assert!(matches!(refused, Err(ClientError::Unavailable(_))), "{list}: {refused:?}");
+    }
+    others.iter().for_each(|at| cluster.signal(*at, Signal::CONT));
+    let began = Instant::now();
+    let (success, text) = loop {
+        let (success, text) = backup(&[], &file);
+        if success || began.elapsed() > Duration::from_secs(10) {
+            break (success, text);
+        }
+        sleep(Duration::from_millis(50)).await;
+    };
+    assert!(success && text.contains("2 instances"), "{text}");
+}
--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxdale_fleet::call::{Call, CallError, HttpClient};
+use flaxdale_fleet::call::{Call, CallError, HttpClient, Response};
 use hyper::StatusCode;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::wire::ErrorBody;
+use crate::wire::{ErrorBody, Listing};
 
 /// Size limit of a response, which may be a backup of the full list.
 const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
@@ -39,6 +39,10 @@
     },
 }
 
+fn decode<Resp: DeserializeOwned>(address: SocketAddr, response: &Response) -> Result<Resp, ClientError> {
+    serde_json::from_slice(&response.body).map_err(|source| ClientError::Malformed { address, source })
+}
+
 /// A client of a registry.
 pub struct Client {
     replicas: Vec<HttpClient>,
@@ -66,7 +70,19 @@
         self.send(&Call::post(path, body, CALL_TIMEOUT, MAX_RESPONSE_BYTES)).await
     }
 
+    /// Returns the list of one replica with the upper bound of its age; `None` if the replica does not know it.
+    pub async fn list(&mut self, path: &str) -> Result<(Listing, Option<Duration>), ClientError> {
+        let (address, response) = self.exchange(&Call::get(path, CALL_TIMEOUT, MAX_RESPONSE_BYTES)).await?;
+        Ok((decode(address, &response)?, response.list_age()))
+    }
+
     async fn send<Resp: DeserializeOwned>(&mut self, call: &Call) -> Result<Resp, ClientError> {
+        let (address, response) = self.exchange(call).await?;
+        decode(address, &response)
+    }
+
+    /// Sends a call to one replica after another until one processes it, and returns its address and response.
+    async fn exchange(&mut self, call: &Call) -> Result<(SocketAddr, Response), ClientError> {
         let mut errors = Vec::new();
         for replica in &mut self.replicas {
             let address = replica.address();
@@ -79,8 +95,7 @@
                 Err(error) => return Err(ClientError::Unavailable(format!("{address}: {error}"))),
             };
             if response.status == StatusCode::OK {
-                return serde_json::from_slice(&response.body)
-                    .map_err(|source| ClientError::Malformed { address, source });
+                return Ok((address, response));
             }
             let text = ErrorBody::message(&response.body);
             match response.status.as_u16() {
--- a/registry/src/http.rs
+++ b/registry/src/http.rs
@@ -6,7 +6,8 @@
 
 use axum::Router;
 use axum::body::{Body, Bytes};
-use axum::extract::{DefaultBodyLimit, RawQuery, Request, State};
+use axum::extract::rejection::QueryRejection;
+use axum::extract::{DefaultBodyLimit, Query, RawQuery, Request, State};
 use axum::http::{HeaderMap, HeaderValue, StatusCode, header};
 use axum::middleware::{Next, from_fn_with_state};
 use axum::response::{IntoResponse, Response};
@@ -14,8 +15,8 @@
 use flaxdale_fleet::watch::{INSTANCES_PATH, LIST_AGE_HEADER};
 use openraft::Snapshot;
 use openraft::error::RaftError;
-use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::time::{Instant, timeout_at};
 
@@ -71,7 +72,7 @@
         .route("/registry/suspects", post(suspects))
         .route("/registry/restore", post(restore))
         .route("/registry/replicas", post(replicas))
-        .route("/registry/backup", get(async |State(replica): ReplicaState| json(&replica.backup())))
+        .route("/registry/backup", get(backup))
         .route("/registry/status", get(async |State(replica): ReplicaState| json(&replica.status())))
         .route("/health/live", get(async || "live\n"))
         .route("/health/ready", get(ready))
@@ -197,6 +198,22 @@
     dispatch(&replica, Operation::Replicas(parse::<ReplicaChange>(&body)?), Origin::Client).await
 }
 
+/// The query parameters of a backup.
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct BackupQuery {
+    /// Whether a backup that may lack acknowledged writes is acceptable.
+    stale: bool,
+}
+
+async fn backup(
+    State(replica): ReplicaState,
+    query: Result<Query<BackupQuery>, QueryRejection>,
+) -> Result<Response, ApiError> {
+    let Query(query) = query.map_err(|error| ApiError::new(400, error.to_string()))?;
+    replica.backup(query.stale).await.map(|backup| json(&backup))
+}
+
 async fn ready(State(replica): ReplicaState) -> Result<&'static str, ApiError> {
     replica.not_ready_reason().map_or(Ok("ready\n"), |reason| Err(ApiError::unavailable(reason)))
 }
@@ -207,6 +224,8 @@
     from: Option<Rev>,
     seen: Option<Rev>,
     hold: Duration,
+    /// Whether the response must have every write that was acknowledged before the request.
+    current: bool,
 }
 
 impl WatchQuery {
@@ -214,6 +233,12 @@
         let mut watch = Self::default();
         for pair in query.split('&').filter(|pair| !pair.is_empty()) {
             let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            if name == "current" {
+                let parsed = value.parse::<bool>();
+                watch.current = parsed
+                    .map_err(|_| ApiError::new(400, format!("{name}: {value:?} is not true or false")))?;
+                continue;
+            }
             let number = value.parse::<u64>();
             let number = number
                 .map_err(|_| ApiError::new(400, format!("{name}: {value:?} is not an unsigned integer")));
@@ -221,7 +246,12 @@
                 "from" => watch.from = Some(number?),
                 "seen" => watch.seen = Some(number?),
                 "hold_ms" => watch.hold = Duration::from_millis(number?).min(MAX_HOLD),
-                _ => return Err(ApiError::new(400, format!("{name}: expected from, seen or hold_ms"))),
+                _ => {
+                    return Err(ApiError::new(
+                        400,
+                        format!("{name}: expected from, seen, hold_ms or current"),
+                    ));
+                }
             }
         }
         Ok(watch)
@@ -259,6 +289,9 @@
 async fn instances(State(replica): ReplicaState, RawQuery(query): RawQuery) -> Result<Response, ApiError> {
     let watch = WatchQuery::read(query.as_deref().unwrap_or_default())?;
     let started_at = Instant::now();
+    if watch.current {
+        replica.await_current_list().await?;
+    }
     let mut revisions = replica.watch();
     let min_rev = watch.from.max(watch.seen).unwrap_or(0);
     if min_rev > replica.rev() {
--- a/registry/src/replica/consensus.rs
+++ b/registry/src/replica/consensus.rs
@@ -177,33 +177,40 @@
         *list_as_of = Some(list_as_of.map_or(time, |known| known.max(time)));
     }
 
-    /// Periodically obtains the commit index from the leader and waits until it is applied, which bounds the age of the
-    /// list.
+    /// Waits until the list has every write that was acknowledged before this call: obtains the commit index from a
+    /// leader that a quorum confirms, and waits until it is applied here.
+    pub async fn await_current_list(&self) -> Result<(), ApiError> {
+        let started_at = Instant::now();
+        let confirmation = match self.leader() {
+            Some((leader, _)) if leader == self.id => self.confirm_leadership().await?,
+            Some((leader, place)) => {
+                self.call_peer(
+                    place.peer,
+                    Some(leader),
+                    OPERATION_PATH,
+                    &Operation::Confirm,
+                    CONFIRM_TIMEOUT * 2,
+                )
+                .await?
+            }
+            None => {
+                self.check_store()?;
+                return Err(ApiError::unavailable("no leader is known"));
+            }
+        };
+        let applied = self.raft().wait(Some(CONFIRM_TIMEOUT));
+        let applied = applied.applied_index_at_least(confirmation.index, "current list").await;
+        applied.map_err(|_| ApiError::unavailable("this replica is behind the leader"))?;
+        self.advance_list_as_of(started_at);
+        Ok(())
+    }
+
+    /// Periodically waits for the current list, which bounds the age of the list.
     pub(super) async fn refresh_list_age(self: Arc<Self>) {
         loop {
             let started_at = Instant::now();
-            let confirmation = match self.leader() {
-                Some((leader, _)) if leader == self.id => self.confirm_leadership().await,
-                Some((leader, place)) => {
-                    self.call_peer(
-                        place.peer,
-                        Some(leader),
-                        OPERATION_PATH,
-                        &Operation::Confirm,
-                        CONFIRM_TIMEOUT * 2,
-                    )
-                    .await
-                }
-                None => Err(ApiError::unavailable("no leader is known")),
-            };
-            match confirmation {
-                Ok(LeadershipConfirmation { index, .. }) => {
-                    let applied = self.raft().wait(Some(CONFIRM_TIMEOUT));
-                    if applied.applied_index_at_least(index, "list age refresh").await.is_ok() {
-                        self.advance_list_as_of(started_at);
-                    }
-                }
-                Err(error) => tracing::debug!(cause = error.message, "list age not confirmed"),
+            if let Err(error) = self.await_current_list().await {
+                tracing::debug!(cause = error.message, "list age not confirmed");
             }
             sleep_until(started_at + AGE_REFRESH_INTERVAL).await;
         }
--- a/registry/src/replica/mod.rs
+++ b/registry/src/replica/mod.rs
@@ -35,7 +35,7 @@
 use crate::state_machine::SharedState;
 use crate::store::{Store, StoreError};
 use crate::wire::{
-    Backup, BackupPart, InstanceKey, Renewal, RenewalResponse, ReplicaChange, SuspectDecision,
+    Backup, BackupPart, InstanceKey, Renewal, RenewalResponse, ReplicaChange, StaleBackup, SuspectDecision,
 };
 
 /// Capacity of the queues of commands, confirmations and renewals.
@@ -404,8 +404,20 @@
         }
     }
 
-    /// Returns a backup of the list.
-    pub fn backup(&self) -> Backup {
+    /// Returns a backup of the list with every write that was acknowledged before this call. If that cannot be confirmed
+    /// and a `stale` one is acceptable, returns what this replica has, marked with its age.
+    pub async fn backup(&self, stale: bool) -> Result<Backup, ApiError> {
+        let Err(error) = self.await_current_list().await else { return Ok(self.local_backup(None)) };
+        if !stale {
+            let advice = "try again, or `backup --stale` takes what one replica has, which may lack acknowledged writes";
+            let message = format!("the list cannot be confirmed as current: {}; {advice}", error.message);
+            return Err(ApiError { message, ..error });
+        }
+        let max_age_ms = self.age().map(|age| age.as_millis() as u64);
+        Ok(self.local_backup(Some(StaleBackup { max_age_ms })))
+    }
+
+    fn local_backup(&self, stale: Option<StaleBackup>) -> Backup {
         let state = self.shared.read();
         Backup {
             format: Backup::FORMAT,
@@ -413,6 +425,7 @@
             incarnation: state.list.incarnation(),
             rev: state.list.rev(),
             lines: state.list.lines().cloned().collect(),
+            stale,
         }
     }
 }
--- a/registry/src/wire.rs
+++ b/registry/src/wire.rs
@@ -157,6 +157,17 @@
     pub rev: u64,
     /// The lines of the list.
     pub lines: Vec<Line>,
+    /// Set if the list could not be confirmed as current, so that acknowledged writes may be missing.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stale: Option<StaleBackup>,
+}
+
+/// How far a backup may be behind the registry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StaleBackup {
+    /// The maximum age of the list when the backup was taken, in milliseconds; `None` if it is unknown.
+    pub max_age_ms: Option<u64>,
 }
 
 impl Backup {
