Try the other replicas after a response of 507

Callers saw: a client of all replicas stopped at the first one whose store had failed, although the others accepted writes. Cause: the client took 507 for the response of the whole registry. Evidence: the new test failed before: 'Rejected { status: 507, text: "the store rejects writes" }' with a second replica that answers 200. Change: the client goes on after 507, and returns that rejection only if no replica processes the call. Result: the new test passes.

--- a/registry/src/client.rs
+++ b/registry/src/client.rs
@@ -18,7 +18,7 @@
 /// Why a call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum ClientError {
-    /// The registry rejected the call: another replica would do the same.
+    /// The registry rejected the call: another replica would do the same, or has done so.
     #[error("{text}")]
     Rejected {
         /// The HTTP status.
@@ -84,6 +84,7 @@
     /// Sends a call to one replica after another until one processes it, and returns its address and response.
     async fn exchange(&mut self, call: &Call) -> Result<(SocketAddr, Response), ClientError> {
         let mut errors = Vec::new();
+        let mut rejected_for_storage = None;
         for replica in &mut self.replicas {
             let address = replica.address();
             let response = match replica.call(call).await {
@@ -101,9 +102,17 @@
             match response.status.as_u16() {
                 // Another replica may be able to process it.
                 503 | 504 => errors.push(format!("{address}: {text}")),
+                // The store of this replica has failed or is full. Another replica may reach a leader.
+                507 => {
+                    errors.push(format!("{address}: {text}"));
+                    rejected_for_storage.get_or_insert(ClientError::Rejected { status: 507, text });
+                }
                 status => return Err(ClientError::Rejected { status, text }),
             }
         }
-        Err(ClientError::Unavailable(errors.join("; ")))
+        Err(rejected_for_storage.unwrap_or_else(|| ClientError::Unavailable(errors.join("; "))))
     }
 }
+
+#[cfg(test)]
+mod tests;
