Count lists as equal in the registry's tests only if every replica answers

Cause: converged_list left out replicas whose list it could not get, so the lists of two that were behind counted as those of three. That explains how the test of an older backup could see the former revision after a successful restore; that it was so in that run is not proved. Change: as many lists as replicas run are needed, which is stricter. A new test pauses the leader and expects no result for 20 s.

--- a/cli/tests/registry/cluster.rs
+++ b/cli/tests/registry/cluster.rs
@@ -148,6 +148,10 @@
         replica.child = Some(child);
     }
 
+    pub fn is_running(&self, index: usize) -> bool {
+        self.replicas[index].child.is_some()
+    }
+
     pub fn signal(&self, index: usize, signal: Signal) {
         let child = self.replicas[index].child.as_ref().expect("a running process");
         kill_process(Pid::from_child(child), signal).expect("a delivered signal");
@@ -268,17 +272,18 @@
         .await;
     }
 
-    /// Returns the committed list once all running replicas have the same replica.
+    /// Returns the committed list once all running replicas answer with the same list.
     pub async fn converged_list(&self) -> Listing {
         let mut common = None;
         let began = Instant::now();
         while common.is_none() {
+            let running = (0..self.replicas.len()).filter(|index| self.is_running(*index)).count();
             let mut lists: Vec<Listing> = Vec::new();
             for (index, _) in self.replicas.iter().enumerate().filter(|(_, replica)| replica.child.is_some())
             {
                 lists.extend(self.client(index).get("/registry/instances").await);
             }
-            if !lists.is_empty() && lists.iter().all(|list| *list == lists[0]) {
+            if lists.len() == running && lists.iter().all(|list| *list == lists[0]) {
                 common = lists.pop();
             }
             assert!(began.elapsed() < TIMEOUT, "timed out waiting for equal lists\n{}", self.logs());
--- a/cli/tests/registry/faults.rs
+++ b/cli/tests/registry/faults.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::cluster::{Cluster, Writer, registration};
+use crate::cluster::{Cluster, Writer, registration, wait_until};
 use crate::{LONG_LEASES, check_consistency, flaxdale, flaxdale_command, start_watchers};
 
 /// Time within which writes are accepted while a majority of the stores works.
@@ -249,3 +249,20 @@
     };
     assert!(success && text.contains("2 instances"), "{text}");
 }
+
+/// A list of fewer than all replicas must not count as the list on which all agree.
+#[tokio::test(flavor = "multi_thread")]
+async fn lists_converge_only_when_every_running_replica_answers() {
+    let cluster = Cluster::start(3, LONG_LEASES).await;
+    cluster.register("before", 1).await;
+    cluster.converged_list().await;
+    let silent = cluster.wait_ready().await;
+    cluster.signal(silent, Signal::STOP);
+    // All of its threads have stopped.
+    sleep(Duration::from_millis(200)).await;
+    let early = timeout(Duration::from_secs(20), cluster.converged_list()).await;
+    assert!(early.is_err(), "lists of two replicas counted as those of three");
+    cluster.signal(silent, Signal::CONT);
+    wait_until("all answer", async || cluster.status(silent).await.is_some()).await;
+    cluster.converged_list().await;
+}
