Give each restore an id, so that its parts are neither mixed nor applied twice

The parts of two restores at a time could make one list, and a restore whose last response was lost was reported as failed although it had taken effect. Cause: a part was accepted if its number was the next, whatever restore it came from. Evidence: without the comparison of ids the new test gives a list of part 0 of one and part 1 of the other; without the check for repeated parts it gives UnexpectedPart for a restore that is done. Change: a part may carry the id of its restore. Part 0 of another id begins anew, a later part of another id is rejected, and a part that is staged or completed already changes nothing. Parts without an id work as before.

--- a/cli/src/registry.rs
+++ b/cli/src/registry.rs
@@ -9,7 +9,6 @@
 use flaxdale_fleet::parent_process;
 use flaxdale_fleet::watch::INSTANCES_PATH;
 use flaxdale_registry::client::{Client, ClientError};
-use flaxdale_registry::list::MAX_PART_LINES;
 use flaxdale_registry::serve::{ServeError, serve};
 use flaxdale_registry::settings::Settings;
 use flaxdale_registry::wire::{
@@ -351,14 +350,9 @@
             backup.fleet, status["fleet"]
         )));
     }
-    let parts: Vec<_> = if backup.lines.is_empty() {
-        vec![Vec::new()]
-    } else {
-        backup.lines.chunks(MAX_PART_LINES).map(<[_]>::to_vec).collect()
-    };
-    let (count, mut body) = (parts.len() as u32, Value::Null);
-    for (part, lines) in (0..).zip(parts) {
-        body = client.post("/registry/restore", &BackupPart { part, parts: count, lines }).await?;
+    let mut body = Value::Null;
+    for part in BackupPart::split(&backup.lines) {
+        body = client.post("/registry/restore", &part).await?;
     }
     Ok(format!("{} instances restored: revision {}", backup.lines.len(), body["rev"]))
 }
--- a/registry/src/list.rs
+++ b/registry/src/list.rs
@@ -105,6 +105,10 @@
     },
     /// Stages a part of a backup. The last part replaces the list by the backup.
     Restore {
+        /// Identifies the restore, so that parts of two concurrent ones are not mixed and a repeated part changes
+        /// nothing. Absent in parts from former versions.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        restore_id: Option<u64>,
         /// The index of the part, from 0.
         part: u32,
         /// The number of parts.
@@ -206,6 +210,12 @@
     /// The number of parts of a backup that are staged, and their lines.
     #[serde(default)]
     staged: (u32, Vec<Line>),
+    /// The restore that the staged parts belong to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    staged_restore: Option<u64>,
+    /// The last restore that was completed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    completed_restore: Option<u64>,
 }
 
 fn check_name(field: &'static str, text: &str) -> Result<(), ListError> {
@@ -258,7 +268,9 @@
             Command::Suspect(keys) => Ok(self.set_suspect(keys, true)),
             Command::Clear(keys) => Ok(self.set_suspect(keys, false)),
             Command::Begin { past } => Ok((self.incarnation == 0).then(|| self.start_incarnation(*past))),
-            Command::Restore { part, parts, lines, past } => self.restore(*part, *parts, lines, *past),
+            Command::Restore { restore_id, part, parts, lines, past } => {
+                self.restore(*restore_id, *part, *parts, lines, *past)
+            }
         }
     }
 
@@ -308,15 +320,25 @@
 
     fn restore(
         &mut self,
+        restore_id: Option<u64>,
         part: u32,
         parts: u32,
         lines: &[Line],
         past: Rev,
     ) -> Result<Option<Rev>, ListError> {
+        let is_same = |other: Option<u64>| restore_id.is_some() && restore_id == other;
+        let already_staged = is_same(self.staged_restore) && part < self.staged.0;
+        if already_staged || is_same(self.completed_restore) {
+            return Ok(None);
+        }
         if part == 0 {
             self.staged = Default::default();
+            self.staged_restore = restore_id;
         }
         let error = ListError::UnexpectedPart { part, parts, lines: lines.len() };
+        if restore_id != self.staged_restore {
+            return Err(error);
+        }
         if part != self.staged.0 || part >= parts || lines.len() > MAX_PART_LINES {
             return Err(error);
         }
@@ -331,6 +353,7 @@
             return Ok(None);
         }
         let (_, lines) = std::mem::take(&mut self.staged);
+        self.completed_restore = self.staged_restore.take();
         // Suspect marks are dropped, because every instance gets a new lease.
         let lines = lines.into_iter().filter(|line| line.state != State::Gone);
         self.lines = lines.map(|line| (line.instance.uid.clone(), Line { suspect: false, ..line })).collect();
--- a/registry/src/replica/mod.rs
+++ b/registry/src/replica/mod.rs
@@ -36,6 +36,7 @@
 use crate::store::{Store, StoreError};
 use crate::wire::{
     Backup, BackupPart, InstanceKey, Renewal, RenewalResponse, ReplicaChange, StaleBackup, SuspectDecision,
+    random_id,
 };
 
 /// Capacity of the queues of commands, confirmations and renewals.
@@ -224,9 +225,7 @@
 impl Replica {
     /// Opens the store and starts the Raft node. The background tasks run until the runtime shuts down.
     pub async fn start(settings: Settings) -> Result<Arc<Self>, StartError> {
-        // Below 2^53, so that every JSON parser represents it exactly.
-        let new_id = (rand::random::<u64>() >> 11).max(1);
-        let store = Store::open(&settings.data, &settings.fleet, new_id)?;
+        let store = Store::open(&settings.data, &settings.fleet, random_id())?;
         let id = store.id()?;
         let peers = PeerPool::new(&settings.fleet, settings.via.clone());
         let shared = Arc::new(SharedState::empty());
@@ -389,9 +388,9 @@
             }
             Operation::Renew(renewal) => self.renew(renewal).await,
             Operation::Decide(decision) => self.resolve_suspects(decision).await,
-            Operation::Restore(BackupPart { part, parts, lines }) => {
+            Operation::Restore(BackupPart { restore_id, part, parts, lines }) => {
                 let past = revision_floor(unix_s());
-                self.write(Command::Restore { part, parts, lines, past }).await.map(rev)
+                self.write(Command::Restore { restore_id, part, parts, lines, past }).await.map(rev)
             }
             Operation::Confirm => {
                 let confirmation = self.confirm_leadership().await?;
--- a/registry/src/wire.rs
+++ b/registry/src/wire.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::list::{Instance, Line, State, WatchUpdate};
+use crate::list::{Instance, Line, MAX_PART_LINES, State, WatchUpdate};
 
 /// An instance on the list, and the body of a registration.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -179,6 +179,9 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BackupPart {
+    /// Identifies the restore that the part belongs to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub restore_id: Option<u64>,
     /// The index of the part, from 0.
     pub part: u32,
     /// The number of parts.
@@ -187,6 +190,22 @@
     pub lines: Vec<Line>,
 }
 
+impl BackupPart {
+    /// Splits a backup into the parts of a new restore.
+    pub fn split(lines: &[Line]) -> Vec<Self> {
+        let restore_id = Some(random_id());
+        let parts = lines.len().div_ceil(MAX_PART_LINES).max(1) as u32;
+        let part_lines = |part: u32| lines.chunks(MAX_PART_LINES).nth(part as usize).unwrap_or_default();
+        let new_part = |part| Self { restore_id, part, parts, lines: part_lines(part).to_vec() };
+        (0..parts).map(new_part).collect()
+    }
+}
+
+/// Returns a random ID below 2^53, so that every JSON parser represents it exactly.
+pub(crate) fn random_id() -> u64 {
+    (rand::random::<u64>() >> 11).max(1)
+}
+
 /// The body of an error response.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ErrorBody {
--- a/registry/tests/list.rs
+++ b/registry/tests/list.rs
@@ -214,7 +214,7 @@
 }
 
 fn part(part: u32, parts: u32, lines: Vec<Line>) -> Command {
-    Command::Restore { part, parts, lines, past: revision_floor(1000) }
+    Command::Restore { restore_id: None, part, parts, lines, past: revision_floor(1000) }
 }
 
 #[test]
@@ -255,3 +255,25 @@
     assert!(matches!(list.apply(&part(0, 1, oversized)), Err(ListError::UnexpectedPart { .. })));
     assert_eq!(list.lines().count(), 1);
 }
+
+fn part_of(restore_id: u64, part: u32, parts: u32, lines: Vec<Line>) -> Command {
+    Command::Restore { restore_id: Some(restore_id), part, parts, lines, past: revision_floor(1000) }
+}
+
+/// Guards against a list made of parts of two backups, and against a restore that fails because a response was lost.
+#[test]
+fn concurrent_restores_are_not_mixed_and_a_repeated_part_changes_nothing() {
+    let mut list = List::default();
+    list.apply(&part_of(1, 0, 2, vec![line("a")])).expect("command is applied");
+    list.apply(&part_of(2, 0, 2, vec![line("b")])).expect("command is applied");
+    let mixed = ListError::UnexpectedPart { part: 1, parts: 2, lines: 1 };
+    assert_eq!(list.apply(&part_of(1, 1, 2, vec![line("c")])), Err(mixed));
+    assert_eq!(list.apply(&part_of(2, 0, 2, vec![line("b")])), Ok(None), "already staged");
+    let rev = list.apply(&part_of(2, 1, 2, vec![line("d")])).expect("command is applied");
+    assert!(rev.is_some());
+    let names: Vec<&str> = list.lines().map(|line| line.instance.uid.as_str()).collect();
+    assert_eq!(names, ["b", "d"]);
+    assert_eq!(list.apply(&part_of(2, 1, 2, vec![line("d")])), Ok(None), "already restored");
+    assert_eq!(list.apply(&part_of(2, 0, 2, vec![line("b")])), Ok(None), "already restored");
+    assert_eq!(Some(list.rev()), rev);
+}
