Treat an invalid zone share as no override at a node's start as well

Callers saw: a node that started with an override whose share is minus infinity sent almost nothing to that zone, and returned to it over 20 s. Cause: a starting node adopts the target at once, and took it before it was checked. That a share which is not a number stays, as the issue suspected, does not occur: the first step of the share replaces it, since f64::min ignores it. Evidence: the new test failed before for minus infinity (1 of 100 requests in the home zone) and passed for the other two values. Change: the target is checked first. Result: the new test passes.

--- a/src/zone_overrides.rs
+++ b/src/zone_overrides.rs
@@ -25,12 +25,12 @@
             let found = overrides.iter().rev().find(|zone_override| zone_override.zone == ZoneId(zone));
             let (region, target) =
                 found.map_or((0, 1.0), |zone_override| (zone_override.region, zone_override.traffic_share));
+            let target = if target.is_finite() { target.clamp(0.0, 1.0) } else { 1.0 };
             // A node that has just started adopts the target at once: the other nodes have moved already.
             let current = before
                 .get(zone as usize)
                 .map_or(if just_started { target } else { 1.0 }, |share| share.current);
             let rate_factor = 1.0 + RATE_JITTER * (2.0 * self.random_unit() - 1.0);
-            let target = if target.is_finite() { target.clamp(0.0, 1.0) } else { 1.0 };
             self.traffic_shares.push(TrafficShare {
                 region,
                 target,
--- a/tests/zone_overrides.rs
+++ b/tests/zone_overrides.rs
@@ -69,6 +69,16 @@
     );
 }
 
+/// Guards against a node that adopts an invalid share at its start, before the share is checked.
+#[test]
+fn a_starting_node_treats_an_invalid_share_as_no_override() {
+    for invalid in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY] {
+        let mut started = node(1);
+        started.handle(Event::ZoneOverrides(vec![zone_override(0, 0, invalid)]));
+        assert_eq!(served(&mut started, 100), [100, 0, 0], "{invalid}");
+    }
+}
+
 #[test]
 fn a_closed_zone_takes_no_overflow_and_a_partial_share_is_kept() {
     let reports = |backend: BackendId| util(if backend.0 < 2 { 0.9 } else { 0.3 });
