Soak the registry with seeded faults of processes, links, stores and calls

Change: a seed draws 4 to 8 faults in 10 s: SIGKILL, SIGTERM with SIGKILL 3.7 s later, SIGSTOP, links cut in one or both directions, stores that cannot grow, dropped leadership transfers, removals and restores, backups; some begin in the moment of another. Three writers, a client that renews, watchers and an observer record what they are told. Full restores are not drawn, and the links between clients and replicas are never cut.

--- a/cli/tests/registry/cluster.rs
+++ b/cli/tests/registry/cluster.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use flaxdale_fleet::call::{Call, HttpClient};
@@ -426,20 +426,48 @@
     pub failed: u64,
 }
 
+/// Names of instances that a writer has registered or is about to register, for a client that renews their leases.
+#[derive(Clone, Debug, Default)]
+pub struct WrittenInstances {
+    pub attempted: Vec<String>,
+    /// The number of them that are acknowledged, from the first on.
+    pub acknowledged: usize,
+}
+
 impl Writer {
-    pub fn start(mut client: Client, name: &str) -> Self {
+    pub fn start(client: Client, name: &str) -> Self {
+        Self::start_sharing(client, name, Duration::ZERO, Arc::default())
+    }
+
+    /// Starts a writer that pauses after each registration and shares the names before it registers them.
+    pub fn start_sharing(
+        mut client: Client,
+        name: &str,
+        pause: Duration,
+        written: Arc<Mutex<WrittenInstances>>,
+    ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let (stopping, name) = (stop.clone(), name.to_owned());
         let task = tokio::spawn(async move {
             let (mut record, mut last, mut number) = (WriteRecord::default(), Instant::now(), 0);
             while !stopping.load(Ordering::Relaxed) {
                 let uid = format!("{name}-{number}");
+                let share = |update: fn(&mut WrittenInstances, &str)| {
+                    update(&mut written.lock().expect("no panic"), &uid);
+                };
+                share(|written, uid| {
+                    if written.attempted.last().is_none_or(|last| last != uid) {
+                        written.attempted.push(uid.to_owned());
+                    }
+                });
                 match client.post::<Value>("/registry/register", &registration(&uid, 1)).await {
                     Ok(body) => {
                         record.max_gap = record.max_gap.max(last.elapsed());
                         last = Instant::now();
+                        share(|written, _| written.acknowledged = written.attempted.len());
                         record.acknowledged.push((uid, body["rev"].as_u64().expect("a revision")));
                         number += 1;
+                        sleep(pause).await;
                     }
                     // Retries the same registration, which may have been applied.
                     Err(_) => {
--- a/cli/tests/registry/main.rs
+++ b/cli/tests/registry/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod faults;
 mod history;
+mod soak;
 
 use std::collections::BTreeSet;
 use std::time::Duration;
