Log writes to the registry's store that are slow

Need: on a machine with a busy disk, elections failed and no log told slow syncs from lost messages. Change: a write that takes 100 ms or more is logged with its duration.

--- a/registry/src/store.rs
+++ b/registry/src/store.rs
@@ -6,6 +6,7 @@
 use std::ops::{Bound, RangeBounds};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::time::{Duration, Instant};
 
 use openraft::storage::{LogFlushed, RaftLogStorage};
 use openraft::{LogState, OptionalSend, RaftLogId, RaftLogReader, SnapshotMeta, StorageIOError, Vote};
@@ -31,6 +32,8 @@
 const CACHE_BYTES: usize = 16 * 1024 * 1024;
 /// Limit of the entries that are read for one replication message, which a replica has to store within a heartbeat.
 const MAX_READ_BYTES: usize = 64 * 1024;
+/// Duration from which on a write is logged as slow: elections fail if writes take longer than the election timeout.
+const SLOW_WRITE: Duration = Duration::from_millis(100);
 /// Key of the value that is written to test a store that had failed.
 const TEST_WRITE: &str = "test-write";
 /// Size of that value. The space stays in the file, so that the next writes do not fail at once.
@@ -248,7 +251,12 @@
         &self,
         operation: impl FnOnce(&Database) -> Result<T, StoreError> + Send + 'static,
     ) -> Result<T, StoreError> {
+        let started_at = Instant::now();
         let result = self.run_blocking(operation).await;
+        let elapsed = started_at.elapsed();
+        if elapsed >= SLOW_WRITE {
+            tracing::warn!(elapsed_ms = elapsed.as_millis() as u64, "slow write to the store");
+        }
         if let Err(error) = &result {
             let mut first_error = self.first_write_error.lock().unwrap_or_else(PoisonError::into_inner);
             first_error.get_or_insert_with(|| error.to_string());
