Let only a replica that hears a quorum start an election

Callers saw: no write accepted for a minute while one replica receives nothing. Cause: openraft has no pre-vote. A replica that receives nothing becomes a candidate again and again. Its requests arrive: if its log is as long, the others vote for it, which restarts their election timers, and their votes never reach it. Each replica draws its election timeout once, so one with a longer timeout than the deaf one's interval hardly ever becomes a candidate. Change: a replica that no leader has confirmed for twice the election timeout calls the other voters, and starts elections only while a majority, itself included, responds. A transfer of leadership starts its election as before. Why it works: a deaf replica hears no response, so it never asks for votes, and no timer is restarted by one that cannot win.

--- a/cli/tests/registry/faults.rs
+++ b/cli/tests/registry/faults.rs
@@ -169,6 +169,36 @@
     others.iter().for_each(|other| cluster.set_link_cut(*other, leader, false));
 }
 
+/// A replica that receives nothing, not even votes, must not keep the others from electing a leader.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_receives_nothing_does_not_delay_the_election_of_another() {
+    // The election timeouts of a replica are drawn at its start, so several registries are tried.
+    let registries = (0..4).map(|_| tokio::spawn(elect_beside_a_deaf_replica()));
+    for registry in registries.collect::<Vec<_>>() {
+        registry.await.expect("an election in time");
+    }
+}
+
+async fn elect_beside_a_deaf_replica() {
+    let cluster = Cluster::start(3, LONG_LEASES).await;
+    for round in 0..3 {
+        let leader = cluster.wait_ready().await;
+        let [deaf, behind] = [(leader + 1) % 3, (leader + 2) % 3];
+        // The third replica lacks an entry, so that only the former leader can be elected.
+        cluster.signal(behind, Signal::STOP);
+        register_within(&cluster, &[leader], &format!("before-{round}"), WRITES_CONTINUE_WITHIN).await;
+        [leader, behind].iter().for_each(|from| cluster.set_link_cut(*from, deaf, true));
+        cluster.signal(leader, Signal::STOP);
+        cluster.signal(behind, Signal::CONT);
+        // Long enough for the deaf replica to become a candidate.
+        sleep(Duration::from_secs(3)).await;
+        cluster.signal(leader, Signal::CONT);
+        let name = format!("after-{round}");
+        register_within(&cluster, &[leader, behind], &name, WRITES_CONTINUE_WITHIN).await;
+        [leader, behind].iter().for_each(|from| cluster.set_link_cut(*from, deaf, false));
+    }
+}
+
 /// Commands whose callers were told that the outcome is unknown must not be replicated later, behind others.
 #[tokio::test(flavor = "multi_thread")]
 async fn commands_that_wait_for_a_quorum_longer_than_their_callers_are_dropped() {
--- a/registry/src/replica/leadership.rs
+++ b/registry/src/replica/leadership.rs
@@ -5,7 +5,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use openraft::ServerState;
 use serde_json::{Value, json};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -80,21 +79,6 @@
         self.peers.set_suspended(suspended);
     }
 
-    /// Adds a random delay before each further candidacy. openraft draws the election timeout only once per process, so
-    /// two replicas with similar timeouts would keep splitting the vote.
-    pub(super) async fn randomize_election_delay(self: Arc<Self>) {
-        let raft = self.raft();
-        let mut changes = raft.server_metrics();
-        while changes.changed().await.is_ok() {
-            if changes.borrow_and_update().state == ServerState::Candidate {
-                raft.runtime_config().elect(false);
-                let max_delay = 2 * self.settings.election_ms;
-                sleep(Duration::from_millis((rand::random::<f64>() * max_delay as f64) as u64)).await;
-                raft.runtime_config().elect(true);
-            }
-        }
-    }
-
     /// Prepares a new leader: confirms its leadership, initializes the list if it is new, and creates the leases.
     pub(super) async fn begin_term(&self, term: u64) {
         *lock(&self.leadership) = None;
--- a/registry/src/replica/mod.rs
+++ b/registry/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! A replica of the registry: its Raft node, the replicated state, and the operations on them.
 //!
 //! - `consensus` replicates commands and confirms leadership.
+//! - `elections` decides when this replica may start an election.
 //! - `leadership` keeps the leases while this replica is the leader.
 //! - `forward` calls other replicas and forwards operations to the leader.
 //! - `membership` adds, removes and replaces replicas, transfers leadership and bootstraps a new registry.
@@ -8,6 +9,7 @@
 //! - `status` reports the state of the replica.
 
 mod consensus;
+mod elections;
 mod forward;
 mod leadership;
 mod membership;
@@ -204,6 +206,10 @@
     started_at: Instant,
     /// Whether leadership is being transferred to another replica.
     transferring: AtomicBool,
+    /// Whether a quorum of the replicas responds to this one.
+    hears_quorum: AtomicBool,
+    /// Whether this replica waits before a further candidacy.
+    election_delayed: AtomicBool,
     /// Number of membership changes in progress on this replica.
     membership_changes: AtomicUsize,
     confirmation_queue: mpsc::Sender<PendingConfirmation>,
@@ -248,6 +254,8 @@
             list_as_of: Mutex::default(),
             started_at: Instant::now(),
             transferring: AtomicBool::new(false),
+            hears_quorum: AtomicBool::new(true),
+            election_delayed: AtomicBool::new(false),
             membership_changes: AtomicUsize::new(0),
             confirmation_queue,
             write_queue,
--- a/registry/src/replica/raft_node.rs
+++ b/registry/src/replica/raft_node.rs
@@ -181,6 +181,7 @@
     /// Starts the tasks that end with the Raft node.
     pub(super) fn spawn_node_tasks(self: &Arc<Self>) {
         tokio::spawn(self.clone().randomize_election_delay());
+        tokio::spawn(self.clone().gate_elections());
         tokio::spawn(self.clone().bootstrap());
     }
 }
