Take the marks of suspects from the list, so that a lost command is issued again

Callers saw: nothing yet; read in the code. After a lost mark an operator saw no suspects, and the instances were removed when the hold was over. After a lost clearing an instance that renews stayed a suspect on the list. Cause: the leader changed its own lease when it made the command, and never compared it with the list again. Evidence: the new test failed before: the second check after a mark that was not applied gives no command. Change: sync takes the mark from the list where the two differ. Result: the new test passes.

--- a/registry/src/leases.rs
+++ b/registry/src/leases.rs
@@ -79,7 +79,8 @@
         leases
     }
 
-    /// Synchronizes the leases with the list: new instances get a full lease, and leases of removed ones are dropped.
+    /// Synchronizes the leases with the list: new instances get a full lease, leases of removed ones are dropped, and the
+    /// marks of suspects are taken from the list.
     pub fn sync(&mut self, list: &List, now: Nanos) {
         let expires_at = now.saturating_add(self.policy.lease);
         self.leases
@@ -90,7 +91,11 @@
                 expires_at,
                 suspect_since: line.suspect.then_some(now),
             };
-            self.leases.entry(line.instance.uid.clone()).or_insert(new_lease);
+            let lease = self.leases.entry(line.instance.uid.clone()).or_insert(new_lease);
+            // The command that sets or clears a mark may have been lost. The list decides.
+            if line.suspect != lease.suspect_since.is_some() {
+                lease.suspect_since = line.suspect.then_some(now);
+            }
         }
     }
 
--- a/registry/tests/leases.rs
+++ b/registry/tests/leases.rs
@@ -142,6 +142,26 @@
     assert_eq!(simulate(&mut list, &mut leases, 49, 50, |_| false).len(), 1);
 }
 
+/// Guards against marks of suspects that differ between the leader and the list after a command was lost.
+#[test]
+fn a_suspect_mark_that_was_not_replicated_is_set_or_cleared_again() {
+    let mut list = list(&[("a", 10)]);
+    let mut leases = Leases::new(policy(), &list, 0);
+    leases.check(2 * SECOND);
+    leases.check(4 * SECOND);
+    let is_suspect = |commands: &[Command]| matches!(commands, [Command::Suspect(keys)] if keys.len() == 10);
+    assert!(is_suspect(&leases.expire(&list, 6 * SECOND)));
+    leases.sync(&list, 7 * SECOND);
+    let again = leases.expire(&list, 7 * SECOND);
+    assert!(is_suspect(&again), "{again:?}");
+    list.apply(&again[0]).expect("command is applied");
+    leases.sync(&list, 8 * SECOND);
+    let cleared = leases.renew("a0", 1, 8 * SECOND).expect("instance has a lease");
+    assert!(cleared.is_some());
+    leases.sync(&list, 9 * SECOND);
+    assert_eq!(leases.renew("a0", 1, 9 * SECOND), Ok(cleared), "the list still has the mark");
+}
+
 /// Guards against a leader that removes instances whose renewals could not reach it.
 #[test]
 fn leases_are_extended_after_a_gap_in_which_no_quorum_confirmed_the_leader() {
