Count a watcher without any list as silent from its start

Users saw: watch_silent_ms_max of 0 for a client that never got a list. Cause: the measure was taken between two responses only. Evidence: the new test failed before (left 0, right 800). Change: silence counts from the client's start, and up to the end of the load. Result: the new test passes.

--- a/rig/src/watchers.rs
+++ b/rig/src/watchers.rs
@@ -45,15 +45,33 @@
 /// What one client has received.
 #[derive(Default)]
 struct ClientState {
+    started_at: Nanos,
     list: BTreeMap<String, Target>,
     rev: u64,
     /// Arrival time of each revision.
     arrivals: Vec<(u64, Nanos)>,
     last_response: Option<Nanos>,
-    /// Longest time between two responses.
+    /// Longest time between two responses, or between the start and the first one.
     max_silence: Nanos,
 }
 
+impl ClientState {
+    fn new(started_at: Nanos) -> Self {
+        Self { started_at, ..Self::default() }
+    }
+
+    /// Longest time without a response until `now`.
+    fn silence_until(&self, now: Nanos) -> Nanos {
+        let last_contact = self.last_response.unwrap_or(self.started_at);
+        self.max_silence.max(now.saturating_sub(last_contact))
+    }
+
+    fn record_response(&mut self, now: Nanos) {
+        self.max_silence = self.silence_until(now);
+        self.last_response = Some(now);
+    }
+}
+
 /// A group of watching clients.
 pub struct Watchers {
     shared: Arc<Shared>,
@@ -68,7 +86,7 @@
 pub struct WatchStats {
     /// Time from each change to its arrival at each client, in milliseconds, sorted.
     pub propagation_ms: Vec<f64>,
-    /// Longest time between two responses to a client, in milliseconds.
+    /// Longest time without a response to a client, in milliseconds.
     pub max_silence_ms: f64,
 }
 
@@ -86,7 +104,7 @@
 
     /// Adds a client that first watches the replica with this index. Its task runs until the runtime ends.
     pub fn add(self: &Arc<Self>, first_replica: usize) {
-        let state = Arc::new(Mutex::new(ClientState::default()));
+        let state = Arc::new(Mutex::new(ClientState::new(self.shared.clock.now())));
         lock(&self.clients).push(state.clone());
         tokio::spawn(self.clone().watch(first_replica, state));
     }
@@ -141,8 +159,7 @@
     fn apply(&self, state: &Mutex<ClientState>, update: ListUpdate, list: List) {
         let now = self.shared.clock.now();
         let mut state = lock(state);
-        state.max_silence = state.max_silence.max(state.last_response.map_or(0, |last| now - last));
-        state.last_response = Some(now);
+        state.record_response(now);
         if update == ListUpdate::Ignore {
             return;
         }
@@ -252,7 +269,7 @@
         let mut stats = WatchStats::default();
         for state in lock(&self.clients).iter() {
             let state = lock(state);
-            stats.max_silence_ms = stats.max_silence_ms.max(state.max_silence as f64 / 1e6);
+            stats.max_silence_ms = stats.max_silence_ms.max(state.silence_until(to) as f64 / 1e6);
             let mut previous_rev = 0;
             for &(rev, arrived_at) in &state.arrivals {
                 for (_, &sent_at) in
@@ -278,3 +295,6 @@
         self.propagation_ms.get(index).copied()
     }
 }
+
+#[cfg(test)]
+mod tests;
