Let rig compare decide by what is better in its metric

Users saw: nothing yet, as the metric that decides is better when higher. Cause: decide() ignored higher_is_better. Evidence: the new test failed before (left B, right A). Change: the sign of the difference is taken as the metric says. Result: the new test passes.

--- a/rig/src/compare.rs
+++ b/rig/src/compare.rs
@@ -127,6 +127,7 @@
 
 fn decide(metric: &Metric) -> (Winner, String) {
     let difference = metric.b - metric.a;
+    let gain = if metric.higher_is_better { difference } else { -difference };
     let reason = format!(
         "{} differs by {difference:+.4} with {:.1}% confidence",
         metric.name,
@@ -134,7 +135,7 @@
     );
     if metric.confidence < MIN_CONFIDENCE || difference == 0.0 {
         (Winner::Neither, reason)
-    } else if difference > 0.0 {
+    } else if gain > 0.0 {
         (Winner::B, reason)
     } else {
         (Winner::A, reason)
@@ -152,3 +153,6 @@
     seconds.truncate(count);
     seconds
 }
+
+#[cfg(test)]
+mod tests;
