Report a negative step_s of a fault under its own key

Users saw: an error about for_s for an experiment whose step_s is negative. Cause: one condition for both fields, with one key. Evidence: the extended test failed before (left fault[0].for_s, right fault[0].step_s). Change: each field is checked and reported by its own key. Result: the test passes.

--- a/model/src/scenario.rs
+++ b/model/src/scenario.rs
@@ -827,10 +827,10 @@
         if fault.at_s.min() < 0.0 || fault.at_s.max() > MAX_RUN_SECONDS {
             return error("at_s", format!("must be between 0 and {MAX_RUN_SECONDS}"));
         }
-        if fault.duration_s.is_some_and(|duration| duration.min() < 0.0)
-            || fault.interval_s.is_some_and(|interval| interval.min() < 0.0)
-        {
-            return error("for_s", "must not be negative".into());
+        for (field, range) in [("for_s", fault.duration_s), ("step_s", fault.interval_s)] {
+            if range.is_some_and(|range| range.min() < 0.0) {
+                return error(field, "must not be negative".into());
+            }
         }
         let is_zone = |zone: &String| self.fleet.zones.contains(zone);
         let zones = self.fleet.zones.join(", ");
--- a/model/tests/virtual_time.rs
+++ b/model/tests/virtual_time.rs
@@ -158,6 +158,11 @@
     assert_eq!(error_key(&|scenario| scenario.faults = vec![unknown.clone()]), "fault[0].who");
     let excessive = Fault { count: Some(1), factor: Some(Range::fixed(7.0)), ..fault(FaultKind::FailServer) };
     assert_eq!(error_key(&|scenario| scenario.faults = vec![excessive.clone()]), "fault[0].factor");
+    let negative = Some(Range::fixed(-1.0));
+    let lasting = Fault { count: Some(1), duration_s: negative, ..fault(FaultKind::KillNode) };
+    assert_eq!(error_key(&|scenario| scenario.faults = vec![lasting.clone()]), "fault[0].for_s");
+    let stepping = Fault { count: Some(1), interval_s: negative, ..fault(FaultKind::KillNode) };
+    assert_eq!(error_key(&|scenario| scenario.faults = vec![stepping.clone()]), "fault[0].step_s");
 }
 
 /// Nodes without discovery keep sending to servers that are gone.
