Treat a panic or a hang at the restart of a Raft node as one failed attempt

Need: one panic in the restart would have ended the recovery of a replica for good; while a stuck replica was traced this could not be told from other causes. Change: the restart runs on a task of its own with a limit of 5 s, and its error is logged.

--- a/cli/tests/registry/faults.rs
+++ b/cli/tests/registry/faults.rs
@@ -37,17 +37,29 @@
     assert!(accepted.await.is_ok(), "no write accepted within {limit:?}\n{}", cluster.logs());
 }
 
-/// Writes to the log until the stores of some replicas, which may not grow, have failed.
-async fn fill_stores(cluster: &Cluster, limited: &[usize]) {
+/// Writes a part of a backup to the log that is never completed, so that the list does not change.
+async fn write_backup_part(cluster: &Cluster, time_limit: Duration) {
     let line = json!({"instance": {"uid": "x".repeat(100), "endpoint": "1.2.3.4:5", "zone": "z".repeat(100),
         "kind": "k".repeat(100), "group": 0, "capacity": 1.0, "boot_ms": 1}, "state": "Ready", "suspect": false,
         "rev": 1});
-    // A part of a backup that is never completed, which changes nothing on the list.
     let part = json!({"part": 0, "parts": 2, "lines": vec![line; 100]});
+    let mut client = cluster.client_of_all();
+    // Rejected once the stores have failed.
+    let _ = timeout(time_limit, client.post::<Value>("/registry/restore", &part)).await;
+}
+
+async fn write_backup_parts(cluster: &Cluster, duration: Duration) {
+    let began = Instant::now();
+    while began.elapsed() < duration {
+        write_backup_part(cluster, duration.saturating_sub(began.elapsed())).await;
+    }
+}
+
+/// Writes to the log until the stores of some replicas, which may not grow, have failed.
+async fn fill_stores(cluster: &Cluster, limited: &[usize]) {
     cluster
         .wait_until("the limited stores have failed", async || {
-            let mut client = cluster.client_of_all();
-            let _ = timeout(Duration::from_secs(3), client.post::<Value>("/registry/restore", &part)).await;
+            write_backup_part(cluster, Duration::from_secs(3)).await;
             for at in limited {
                 match cluster.status(*at).await {
                     Some(status) if status["ready"] == json!(false) => {}
@@ -118,6 +130,21 @@
     }
 }
 
+/// A store may fail at any write, also that of a snapshot, and time after time.
+#[tokio::test(flavor = "multi_thread")]
+async fn stores_that_fail_repeatedly_while_snapshots_are_written_recover_each_time() {
+    let cluster = Cluster::start(3, "lease_ms = 600000\nsnapshot_every = 30").await;
+    for round in 0..5 {
+        cluster.wait_ready().await;
+        (0..3).for_each(|at| cluster.limit_store_to_present_size(at));
+        write_backup_parts(&cluster, Duration::from_millis(1500)).await;
+        (0..3).for_each(|at| cluster.lift_store_limit(at));
+        register_within(&cluster, &[0, 1, 2], &format!("round-{round}"), WRITES_RESUME_WITHIN).await;
+        let recovered = timeout(WRITES_RESUME_WITHIN, cluster.wait_ready()).await;
+        assert!(recovered.is_ok(), "every replica must recover by itself\n{}", cluster.logs());
+    }
+}
+
 /// A transfer of leadership whose caller goes away must not leave the former leader unable to lead.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_leadership_transfer_whose_caller_goes_away_leaves_every_replica_able_to_lead() {
--- a/registry/src/replica/raft_node.rs
+++ b/registry/src/replica/raft_node.rs
@@ -18,6 +18,8 @@
 
 /// Interval between attempts to open a failed store again.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
+/// Time limit for opening a store and starting a Raft node on it.
+const RESTART_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time limit for stopping a Raft node.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -140,8 +142,8 @@
                 let _ = timeout(RECOVERY_INTERVAL, changes.changed()).await;
             }
             self.stop_failed_node().await;
-            while let Err(error) = self.restart_node().await {
-                tracing::warn!(cause = %error, "the store still rejects writes");
+            while let Err(error) = self.try_restart().await {
+                tracing::warn!(cause = %error, "the Raft node could not be restarted on the store");
                 sleep(RECOVERY_INTERVAL).await;
             }
             let failure = lock(&self.store_failure).take();
@@ -159,6 +161,20 @@
         node.store.close();
     }
 
+    /// Restarts the node on a task of its own, so that a panic or a wait without end is one failed attempt.
+    async fn try_restart(self: &Arc<Self>) -> Result<(), StartError> {
+        let replica = self.clone();
+        let mut restart = tokio::spawn(async move { replica.restart_node().await });
+        match timeout(RESTART_TIMEOUT, &mut restart).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(panic)) => Err(StartError::Raft(panic.to_string())),
+            Err(_) => {
+                restart.abort();
+                Err(StartError::Raft(format!("the node did not start within {RESTART_TIMEOUT:?}")))
+            }
+        }
+    }
+
     /// Opens the store again and starts a Raft node on what it contains.
     async fn restart_node(self: &Arc<Self>) -> Result<(), StartError> {
         let (directory, fleet, id) = (self.settings.data.clone(), self.settings.fleet.clone(), self.id);
