Wait for interrupted removals in the registry's soak before it ends

Cause: restore_membership saw all three voters while a removal that had been interrupted was still joint. Change: the membership has to be complete for 3 s before the run goes on. The plan is printed first, so that a run that panics shows it.

--- a/cli/tests/registry/soak.rs
+++ b/cli/tests/registry/soak.rs
@@ -39,6 +39,8 @@
 const SIGKILL_AFTER: Duration = Duration::from_millis(3700);
 /// Every expired lease removes its instance at once.
 const SETTINGS: &str = "lease_ms = 6000\nbelieved_share = 1.0\nbelieved_count = 100000\nsnapshot_every = 200";
+/// Time within which a leader completes a removal that was interrupted.
+const MEMBERSHIP_SETTLES_WITHIN: Duration = Duration::from_secs(3);
 /// Time limit of a call of the renewing client.
 const RENEWAL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Number of clients that register instances, and their pause after each.
@@ -372,14 +374,22 @@
     /// Adds the replicas again that a removal has taken out of the membership, with empty stores.
     async fn restore_membership(&mut self) {
         let began = Instant::now();
+        // A removal that was interrupted may be completed some time later.
+        let mut complete_since = None;
         while began.elapsed() < Duration::from_secs(40) {
+            sleep(Duration::from_millis(100)).await;
             let Some(members) = self.members().await else {
-                sleep(Duration::from_millis(100)).await;
+                complete_since = None;
                 continue;
             };
-            let missing =
-                (0..REPLICAS).find(|at| !members.contains(&self.cluster.replicas[*at].peer.to_string()));
-            let Some(missing) = missing else { return };
+            let is_member = |at: &usize| members.contains(&self.cluster.replicas[*at].peer.to_string());
+            let Some(missing) = (0..REPLICAS).find(|at| !is_member(at)) else {
+                if complete_since.get_or_insert_with(Instant::now).elapsed() >= MEMBERSHIP_SETTLES_WITHIN {
+                    return;
+                }
+                continue;
+            };
+            complete_since = None;
             self.cluster.kill(missing);
             self.cluster.delete_store(missing);
             self.cluster.start_replica(missing);
@@ -413,6 +423,8 @@
 async fn run_seed(seed: u64) -> Result<usize, String> {
     let mut random = StdRng::seed_from_u64(seed);
     let plan = draw_plan(&mut random);
+    // Shown if the run fails, also by a panic.
+    println!("seed {seed}: {plan:?}");
     let cluster = Cluster::start(REPLICAS, SETTINGS).await;
     let addresses: Vec<SocketAddr> = cluster.replicas.iter().map(|replica| replica.client).collect();
     let renewed: Vec<String> = (0..RENEWED_INSTANCES).map(|number| format!("renewed-{number}")).collect();
@@ -483,7 +495,7 @@
     if run.errors.is_empty() {
         return Ok(acknowledged.len());
     }
-    Err(format!("seed {seed}: {:#?}\n{plan:#?}\n{}", run.errors, run.cluster.logs()))
+    Err(format!("seed {seed}: {:#?}\n{}", run.errors, run.cluster.logs()))
 }
 
 /// Runs one seed on a thread and a runtime of its own, so that a panic fails this seed and not the others.
