--- a/node/tests/lifecycle.rs
+++ b/node/tests/lifecycle.rs
@@ -105,24 +105,35 @@
     }
 }
 
-/// Guards against losing requests in a planned restart, on existing connections and on new ones.
-#[test]
-fn all_requests_are_answered_after_sigterm() {
+/// Starts a backend that answers the request `slow` once the gate opens, and all others at once.
+fn backend_with_slow_request() -> (Arc<Gate>, Backend) {
     let gate = Arc::new(Gate::default());
     let gate_for_backend = gate.clone();
     let backend = Backend::new(move |message| match message.header("x-call-id") {
         Some("slow") => Behavior::RespondWhenOpen(gate_for_backend.clone(), ok("slow")),
         _ => Behavior::Respond(ok("yes")),
     });
+    (gate, backend)
+}
+
+/// Sends the request `slow` and waits until it has reached its backend.
+fn send_slow_request(client: &mut Client, backend: &Backend) {
+    client.write(&get("slow", ""));
+    wait_until("the slow request reaches the backend", || {
+        backend.requests.try_iter().any(|message| message.header("x-call-id") == Some("slow"))
+    });
+}
+
+/// Guards against losing requests in a planned restart, on existing connections and on new ones.
+#[test]
+fn all_requests_are_answered_after_sigterm() {
+    let (gate, backend) = backend_with_slow_request();
     let (mut node, _discovery) = Node::with_backends(&[&backend]);
     let (mut slow, mut idle, mut kept) =
         (Client::connect(node.address), Client::connect(node.address), Client::connect(node.address));
     assert_eq!(idle.request(&get("i0", "")).expect("a response").status(), 200);
     assert_eq!(kept.request(&get("k0", "")).expect("a response").status(), 200);
-    slow.write(&get("slow", ""));
-    wait_until("the slow request reaches the backend", || {
-        backend.requests.try_iter().any(|m| m.header("x-call-id") == Some("slow"))
-    });
+    send_slow_request(&mut slow, &backend);
     node.signal("-TERM");
     wait_until("the node has begun to shut down", || node.log_contains("shutting down"));
     for client in [kept, Client::connect(node.address)] {
@@ -213,19 +224,11 @@
 /// Guards against closing the listener while requests are pending, which would refuse new connections.
 #[test]
 fn connections_are_accepted_until_the_node_exits() {
-    let gate = Arc::new(Gate::default());
-    let gate_for_backend = gate.clone();
-    let backend = Backend::new(move |message| match message.header("x-call-id") {
-        Some("slow") => Behavior::RespondWhenOpen(gate_for_backend.clone(), ok("slow")),
-        _ => Behavior::Respond(ok("yes")),
-    });
+    let (gate, backend) = backend_with_slow_request();
     let (mut node, _discovery) = Node::with_backends(&[&backend]);
     let (mut slow, mut idle) = (Client::connect(node.address), Client::connect(node.address));
     assert_eq!(idle.request(&get("i0", "")).expect("a response").status(), 200);
-    slow.write(&get("slow", ""));
-    wait_until("the slow request reaches the backend", || {
-        backend.requests.try_iter().any(|m| m.header("x-call-id") == Some("slow"))
-    });
+    send_slow_request(&mut slow, &backend);
     node.signal("-TERM");
     assert!(idle.read_response().is_none(), "an idle connection is closed");
     thread::sleep(std::time::Duration::from_millis(300));
