Renew the last write of a run in the registry's soak

The check stays: no instance that renews may be removed. Change: the client that renews has its name from the start.

--- a/cli/tests/registry/soak.rs
+++ b/cli/tests/registry/soak.rs
@@ -46,6 +46,8 @@
 /// Number of clients that register instances, and their pause after each.
 const WRITERS: usize = 3;
 const WRITE_PAUSE: Duration = Duration::from_millis(30);
+/// Name of the instance that is registered after the last fault.
+const LAST_WRITE: &str = "last";
 /// Number of instances that only renew.
 const RENEWED_INSTANCES: usize = 20;
 
@@ -362,7 +364,7 @@
     async fn check_writes_resume(&mut self) {
         let accepted = timeout(WRITES_RESUME_WITHIN, async {
             let mut client = self.cluster.client_of_all();
-            while client.post::<Value>("/registry/register", &registration("last", 1)).await.is_err() {
+            while client.post::<Value>("/registry/register", &registration(LAST_WRITE, 1)).await.is_err() {
                 sleep(Duration::from_millis(20)).await;
             }
         });
@@ -431,7 +433,9 @@
     for uid in &renewed {
         cluster.register(uid, 1).await;
     }
-    let at_start = WrittenInstances { attempted: renewed.clone(), acknowledged: renewed.len() };
+    // The last write of the run is renewed as well, from the start on.
+    let attempted = renewed.iter().cloned().chain([LAST_WRITE.to_owned()]).collect();
+    let at_start = WrittenInstances { attempted, acknowledged: renewed.len() };
     let mut written = vec![Arc::new(Mutex::new(at_start))];
     written.extend((0..WRITERS).map(|_| Arc::default()));
     let renewer = Renewer::start(addresses.clone(), written.clone());
