Relay a call with the error of the store that was found, not a second look

Callers could see: success for a write that nobody executed. dispatch found the store failed and called relay, which looked again; if the store had recovered meanwhile and no member took the call, the result was Ok(null). Change: relay gets the error and returns it if no member passes the call on.

--- a/registry/src/replica/forward.rs
+++ b/registry/src/replica/forward.rs
@@ -36,21 +36,22 @@
 
     /// Sends an operation to the other members, one after another, until one of them passes it on to the leader. Used
     /// while the store of this replica has failed, so that it does not know the leader.
-    pub(super) async fn relay(&self, operation: &Operation) -> Result<Value, ApiError> {
-        let mut result = self.check_store().map(|()| Value::Null);
+    /// Returns the given error of the store if none does.
+    pub(super) async fn relay(
+        &self,
+        operation: &Operation,
+        store_error: ApiError,
+    ) -> Result<Value, ApiError> {
         for (id, place) in self.members().into_iter().filter(|(id, _)| *id != self.id) {
             let _permit = self.forward_permits.acquire().await;
             let relayed = self.call_peer(place.peer, Some(id), RELAY_PATH, operation, FORWARD_TIMEOUT).await;
             match relayed {
                 // The member has not executed it.
                 Err(ApiError { status: 503 | 507, .. }) => {}
-                relayed => {
-                    result = relayed;
-                    break;
-                }
+                relayed => return relayed,
             }
         }
-        result
+        Err(store_error)
     }
 
     /// Queues a renewal for the leader and waits for the response.
--- a/registry/src/replica/mod.rs
+++ b/registry/src/replica/mod.rs
@@ -370,7 +370,7 @@
             },
             Some(_) => Err(ApiError::unavailable("leadership has moved to another replica")),
             None => match self.check_store() {
-                Err(_) if origin == Origin::Client => self.relay(&operation).await,
+                Err(error) if origin == Origin::Client => self.relay(&operation, error).await,
                 Err(error) => Err(error),
                 Ok(()) => Err(ApiError::unavailable("no leader is known")),
             },
