Notice a client's close behind more input than 32 KiB

Seen: a client sends many requests at once on a connection and closes it. Cause: node/src/server/stream.rs, fill_read_ahead stopped at MAX_READ_AHEAD_BYTES (32 KiB). With more input behind a request, neither the end of the stream was read nor was the system's report of it looked at. A reset was missed as well while the request was pending. A probe showed that the system reports a close behind 70 KB of unread input, but not behind 300 KB, where the end of the stream waits with the client until the node reads; a reset is reported at any size. So neither a higher limit nor the report alone is enough. Change: a connection reads ahead 32 KiB as before, and beyond that from a reserve that all connections share, a sixteenth of the configured memory. Without room the node asks every 20 ms whether the system has received a close or a reset. Clients that send as much and stay are answered in order, before and after. The assertion of read_ahead_is_bounded stands, for a connection without a reserve; a new test bounds all connections together.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -28,7 +28,7 @@
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use driver::{Clock, Node};
-use server::ShutdownPhase;
+use server::{ServerLimits, ShutdownPhase};
 use upstream::Upstream;
 
 /// How long after SIGTERM new connections still arrive.
@@ -42,9 +42,16 @@
 /// How long after its deadline a request may still be open, at most.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 const ACCEPT_BACKLOG: u32 = 1024;
+/// Memory limit to assume if the configuration states none: the smallest that a node is given.
+const DEFAULT_MEMORY_MB: f64 = 32.0;
+/// The share of the memory limit that may hold input read ahead of clients' requests, beyond the allowance of each
+/// connection.
+const READ_AHEAD_MEMORY_SHARE: f64 = 1.0 / 16.0;
 /// Descriptors kept for the runtime, the standard streams, the listener and discovery.
 const RESERVED_DESCRIPTORS: usize = 16;
 
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
+
 /// Log target of the line with the listen address, so that a filter can enable it alone.
 const STARTED_TARGET: &str = "badgerpost::started";
 /// Environment variable with the path of the fleet file. Without it the backend list comes from discovery.
@@ -64,9 +71,15 @@
 
 #[derive(Deserialize)]
 struct Limits {
+    #[serde(default = "default_memory_mb")]
+    memory_mb: f64,
     sockets: usize,
 }
 
+fn default_memory_mb() -> f64 {
+    DEFAULT_MEMORY_MB
+}
+
 /// Why the node cannot start.
 #[derive(Debug, thiserror::Error)]
 enum StartError {
@@ -128,7 +141,10 @@
     let parsed = brookfield_settings::parse(&config.settings).map_err(StartError::InvalidSettings)?;
     let seed =
         u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::InvalidSeed(config.seed.clone()))?;
-    let (clients, backends) = split_descriptors(config.limits.sockets)?;
+    let (max_connections, backends) = split_descriptors(config.limits.sockets)?;
+    // A limit that is no positive number leaves no reserve.
+    let read_ahead_reserve_bytes =
+        (config.limits.memory_mb * BYTES_PER_MB * READ_AHEAD_MEMORY_SHARE) as usize;
     let clock = Clock::start();
     let upstream = Upstream::new(parsed.connections, clock, backends);
     spawn_local(Upstream::sweep(upstream.pool()));
@@ -158,7 +174,12 @@
     spawn_local(async move { timers.run_timers().await });
     let (phase, phases) = watch::channel(ShutdownPhase::Serving);
     let longest_deadline = node.longest_deadline();
-    let server = spawn_local(server::run(listener, node, clients, phases));
+    let server = spawn_local(server::run(
+        listener,
+        node,
+        ServerLimits { max_connections, read_ahead_reserve_bytes },
+        phases,
+    ));
     shutdown_signal(&mut terminate, &mut interrupt).await;
     let signalled_at = Instant::now();
     tracing::info!(node = config.name, "shutting down");
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::future::poll_fn;
 use std::pin::Pin;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::server::conn::http1;
@@ -16,7 +17,8 @@
 
 use super::handler::handle;
 use super::phase::ShutdownPhase;
-use super::stream::ClientStream;
+use super::read_ahead::ReadAheadReserve;
+use super::stream::{CLOSE_CHECK_INTERVAL, ClientSocket, ClientStream};
 use crate::driver::Node;
 
 /// Keep-alive timeout. Kept short because an idle connection holds one of a limited number of slots; clients expect that
@@ -61,15 +63,16 @@
 
 /// Serves a connection until it is closed.
 pub async fn serve(
-    stream: impl AsyncRead + AsyncWrite + Unpin,
+    stream: impl ClientSocket,
     node: Node,
     mut phase: watch::Receiver<ShutdownPhase>,
+    reserve: ReadAheadReserve,
     slots_scarce: impl Fn() -> bool,
 ) {
     let accepted_at = Instant::now();
     let progress =
         RequestProgress { accepted_at, request_seen: Cell::new(false), in_flight: Cell::new(false) };
-    let stream = ClientStream::new(stream);
+    let stream = ClientStream::new(stream, reserve);
     let opened_during_shutdown = *phase.borrow() != ShutdownPhase::Serving;
     let handler_phase = phase.clone();
     let mut closing_phase = std::pin::pin!(async {
@@ -107,8 +110,7 @@
                     }
                     CloseReason::ParserDone
                 }
-                () = poll_fn(|context| stream.poll_peer_closed(context, progress.in_flight.get()))
-                    => CloseReason::PeerClosed,
+                () = peer_closed(&progress, &stream) => CloseReason::PeerClosed,
                 () = &mut closing_phase, if !closing => CloseReason::Shutdown,
                 reason = timed_out(&progress, &stream) => reason,
                 () = &mut shed_when_scarce => CloseReason::TimedOut,
@@ -142,6 +144,27 @@
     linger(stream, &slots_scarce).await;
 }
 
+/// Resolves once the client has closed its connection while a request is being handled.
+async fn peer_closed<Stream: ClientSocket>(progress: &RequestProgress, stream: &ClientStream<Stream>) {
+    let mut next_check = std::pin::pin!(sleep(Duration::ZERO));
+    poll_fn(|context| {
+        loop {
+            if !progress.in_flight.get() {
+                return Poll::Pending;
+            }
+            if stream.poll_peer_closed(context).is_ready() {
+                return Poll::Ready(());
+            }
+            // Nothing wakes the task for a close behind input that is not read.
+            if !stream.is_read_ahead_full() || next_check.as_mut().poll(context).is_pending() {
+                return Poll::Pending;
+            }
+            next_check.as_mut().reset(Instant::now() + CLOSE_CHECK_INTERVAL);
+        }
+    })
+    .await
+}
+
 /// Resolves when a timeout expires: of the wait for a request, for the rest of one, or for the client to read a response.
 async fn timed_out<Stream>(progress: &RequestProgress, stream: &ClientStream<Stream>) -> CloseReason {
     let deadline = || {
@@ -161,7 +184,7 @@
     let mut timer = std::pin::pin!(sleep(Duration::ZERO));
     // The deadline changes only when this task polls the parser, and every poll of the task gets here as well.
     poll_fn(|context| {
-        let Some((at, reason)) = deadline() else { return std::task::Poll::Pending };
+        let Some((at, reason)) = deadline() else { return Poll::Pending };
         if timer.deadline() != at {
             timer.as_mut().reset(at);
         }
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -1,11 +1,13 @@
 //! The HTTP server for clients.
 //!
 //! This module accepts connections. Its submodules: `connection` serves one connection until it is closed, `handler`
-//! handles one request, `stream` wraps a client's socket, `phase` holds the state of a graceful shutdown.
+//! handles one request, `stream` wraps a client's socket, `read_ahead` stores what was read from it ahead of the parser,
+//! `phase` holds the state of a graceful shutdown.
 
 mod connection;
 mod handler;
 mod phase;
+mod read_ahead;
 mod stream;
 #[cfg(test)]
 mod tests;
@@ -24,6 +26,7 @@
 use crate::os_error::is_per_connection;
 use crate::upstream::set_nodelay;
 pub use phase::ShutdownPhase;
+use read_ahead::ReadAheadReserve;
 
 /// How long the node goes on accepting after the last connection was closed during a shutdown.
 const LATE_CONNECTION_GRACE: Duration = Duration::from_millis(100);
@@ -56,17 +59,25 @@
     }
 }
 
-/// Serves until the phase is [`ShutdownPhase::Closing`] and all connections are closed. At most `max_connections`
-/// are open at a time.
+/// Limits of all client connections together.
+pub struct ServerLimits {
+    /// Connections that are open at a time.
+    pub max_connections: usize,
+    /// Bytes that connections may read ahead of the parser beyond the allowance that each one has.
+    pub read_ahead_reserve_bytes: usize,
+}
+
+/// Serves until the phase is [`ShutdownPhase::Closing`] and all connections are closed.
 pub async fn run(
     listener: TcpListener,
     node: Node,
-    max_connections: usize,
+    limits: ServerLimits,
     phase: watch::Receiver<ShutdownPhase>,
 ) {
-    let slots = Arc::new(Semaphore::new(max_connections));
+    let slots = Arc::new(Semaphore::new(limits.max_connections));
     let connections = Rc::new(OpenConnections::default());
-    let scarce_threshold = max_connections / SCARCE_SLOT_DIVISOR;
+    let reserve = ReadAheadReserve::new(limits.read_ahead_reserve_bytes);
+    let scarce_threshold = limits.max_connections / SCARCE_SLOT_DIVISOR;
     let accept_loop = async {
         loop {
             let Ok(slot) = slots.clone().acquire_owned().await else { return };
@@ -79,6 +90,7 @@
                         &node,
                         (slot, ConnectionGuard::new(&connections)),
                         &phase,
+                        &reserve,
                         slots_scarce,
                     );
                 }
@@ -119,12 +131,13 @@
     node: &Node,
     guard: Guard,
     phase: &watch::Receiver<ShutdownPhase>,
+    reserve: &ReadAheadReserve,
     slots_scarce: impl Fn() -> bool + 'static,
 ) {
-    let (node, phase) = (node.clone(), phase.clone());
+    let (node, phase, reserve) = (node.clone(), phase.clone(), reserve.clone());
     spawn_local(async move {
         let _guard = guard;
         set_nodelay(&stream);
-        connection::serve(stream, node, phase, slots_scarce).await;
+        connection::serve(stream, node, phase, reserve, slots_scarce).await;
     });
 }
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -1,25 +1,57 @@
 //! A client's socket with a read-ahead buffer. The HTTP parser stops reading while it holds bytes of a next request, so
-//! the close of a connection by its client is only seen by reading ahead.
+//! the close of a connection by its client is only seen by reading ahead. Once the buffer has no room left, only what the
+//! system reports about the socket shows a close.
 
 use std::cell::RefCell;
-use std::future::poll_fn;
-use std::pin::Pin;
+use std::future::{Future, poll_fn};
+use std::mem::MaybeUninit;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
+use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use bytes::Bytes;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Size limit of the read-ahead buffer. While the buffer is full, a close by the peer is not noticed. Bounds the memory
-/// that a node needs with every connection slot in use.
-const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
-const READ_CHUNK_BYTES: usize = 4 * 1024;
+use super::read_ahead::{ReadAhead, ReadAheadReserve};
+
+const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// How often the system is asked whether the peer has closed, while the read-ahead buffer has no room.
+pub const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// A client's socket.
+pub trait ClientSocket: AsyncRead + AsyncWrite + Unpin {
+    /// Whether the system has reported that the peer closed its side or reset the connection, even if input before that
+    /// is still unread.
+    fn close_reported(&self) -> bool;
+}
+
+impl ClientSocket for TcpStream {
+    fn close_reported(&self) -> bool {
+        // Does not wait: a socket that is not ready has not been closed by the peer.
+        let mut readiness = pin!(self.ready(Interest::READABLE));
+        match readiness.as_mut().poll(&mut Context::from_waker(Waker::noop())) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) | Poll::Pending => false,
+        }
+    }
+}
+
+/// How far to read ahead of the parser.
+#[derive(Clone, Copy)]
+enum ReadAheadLimit {
+    /// Up to the connection's own allowance.
+    Allowance,
+    /// Beyond the allowance, for as long as the shared reserve lasts.
+    Reserve,
+}
 
 struct Inner<Stream> {
     stream: Stream,
     /// Bytes read from the socket that the parser has not read yet.
-    read_ahead: BytesMut,
+    read_ahead: ReadAhead,
     /// The peer has closed its side, or the connection failed.
     read_closed: bool,
     /// When the first byte arrived after the last response was sent.
@@ -32,18 +64,31 @@
 
 impl<Stream> Inner<Stream> {
     fn append(&mut self, bytes: &[u8]) {
-        self.read_ahead.extend_from_slice(bytes);
+        self.read_ahead.append(bytes);
         self.request_started_at.get_or_insert_with(Instant::now);
     }
+
+    /// Bytes that may be read ahead now.
+    fn room(&self, limit: ReadAheadLimit) -> usize {
+        match limit {
+            ReadAheadLimit::Allowance => self.read_ahead.room_in_allowance(),
+            ReadAheadLimit::Reserve => self.read_ahead.room(),
+        }
+    }
+
+    fn is_read_ahead_full(&self) -> bool {
+        self.room(ReadAheadLimit::Reserve) == 0
+    }
 }
 
 impl<Stream: AsyncRead + Unpin> Inner<Stream> {
     /// Reads what the socket has, without waiting. Returns whether any bytes were read.
-    fn fill_read_ahead(&mut self, context: &mut Context<'_>) -> bool {
+    fn fill_read_ahead(&mut self, context: &mut Context<'_>, limit: ReadAheadLimit) -> bool {
         let before = self.read_ahead.len();
-        while !self.read_closed && self.read_ahead.len() < MAX_READ_AHEAD_BYTES {
-            let mut chunk = [0; READ_CHUNK_BYTES];
-            let mut buffer = ReadBuf::new(&mut chunk);
+        let mut chunk = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
+        while !self.read_closed && self.room(limit) > 0 {
+            let size = READ_CHUNK_BYTES.min(self.room(limit));
+            let mut buffer = ReadBuf::uninit(&mut chunk[..size]);
             match Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
                 Poll::Pending => break,
                 Poll::Ready(Ok(())) if !buffer.filled().is_empty() => self.append(buffer.filled()),
@@ -67,8 +112,8 @@
 
 impl<Stream> ClientStream<Stream> {
     /// Wraps the stream of a connection that was just accepted.
-    pub fn new(stream: Stream) -> Self {
-        let (read_ahead, last_response_at) = (BytesMut::new(), Instant::now());
+    pub fn new(stream: Stream, reserve: ReadAheadReserve) -> Self {
+        let (read_ahead, last_response_at) = (ReadAhead::new(reserve), Instant::now());
         Self(Rc::new(RefCell::new(Inner {
             stream,
             read_ahead,
@@ -106,9 +151,8 @@
             return;
         }
         let mut inner = self.0.borrow_mut();
-        let following = std::mem::take(&mut inner.read_ahead);
-        inner.append(&bytes);
-        inner.read_ahead.extend_from_slice(&following);
+        inner.read_ahead.prepend(bytes);
+        inner.request_started_at.get_or_insert_with(Instant::now);
     }
 }
 
@@ -117,33 +161,21 @@
     pub async fn has_unread_input(&self) -> bool {
         poll_fn(|context| {
             let mut inner = self.0.borrow_mut();
-            inner.fill_read_ahead(context);
+            inner.fill_read_ahead(context, ReadAheadLimit::Allowance);
             Poll::Ready(!inner.read_ahead.is_empty())
         })
         .await
     }
 
-    /// Ready once the peer has closed the connection; always pending unless `enabled`. Must be polled whenever the task
-    /// is polled.
-    pub fn poll_peer_closed(&self, context: &mut Context<'_>, enabled: bool) -> Poll<()> {
-        if !enabled {
-            return Poll::Pending;
-        }
-        let mut inner = self.0.borrow_mut();
-        if inner.fill_read_ahead(context) {
-            // The parser may be waiting for these bytes.
-            context.waker().wake_by_ref();
-        }
-        if inner.read_closed { Poll::Ready(()) } else { Poll::Pending }
-    }
-
-    /// Reads and discards input until the peer closes its side or `max_bytes` were read.
+    /// Discards what was read ahead, then reads and discards input until the peer closes its side or `max_bytes` were
+    /// read.
     pub async fn discard(&self, max_bytes: usize) {
+        self.0.borrow_mut().read_ahead.clear();
         let mut remaining_bytes = max_bytes;
         poll_fn(|context| {
             loop {
                 let mut inner = self.0.borrow_mut();
-                let read_any = inner.fill_read_ahead(context);
+                let read_any = inner.fill_read_ahead(context, ReadAheadLimit::Allowance);
                 remaining_bytes = remaining_bytes.saturating_sub(inner.read_ahead.len());
                 inner.read_ahead.clear();
                 if inner.read_closed || remaining_bytes == 0 {
@@ -158,6 +190,25 @@
     }
 }
 
+impl<Stream: ClientSocket> ClientStream<Stream> {
+    /// Ready once the peer has closed the connection. Must be polled whenever the task is polled, and every
+    /// `CLOSE_CHECK_INTERVAL` while [`Self::is_read_ahead_full`].
+    pub fn poll_peer_closed(&self, context: &mut Context<'_>) -> Poll<()> {
+        let mut inner = self.0.borrow_mut();
+        if inner.fill_read_ahead(context, ReadAheadLimit::Reserve) {
+            // The parser may be waiting for these bytes.
+            context.waker().wake_by_ref();
+        }
+        let closed = inner.read_closed || (inner.is_read_ahead_full() && inner.stream.close_reported());
+        if closed { Poll::Ready(()) } else { Poll::Pending }
+    }
+
+    /// Whether a close by the peer cannot be seen by reading, as the read-ahead buffer has no room.
+    pub fn is_read_ahead_full(&self) -> bool {
+        self.0.borrow().is_read_ahead_full()
+    }
+}
+
 impl<Stream: AsyncRead + Unpin> AsyncRead for ClientStream<Stream> {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -174,9 +225,7 @@
             }
             return Poll::Ready(Ok(()));
         }
-        let count = inner.read_ahead.len().min(buffer.remaining());
-        buffer.put_slice(&inner.read_ahead[..count]);
-        inner.read_ahead.advance(count);
+        inner.read_ahead.read_into(buffer);
         Poll::Ready(Ok(()))
     }
 }
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -2,6 +2,8 @@
 
 use super::connection::serve;
 use super::handler::remaining_budget;
+use super::read_ahead::CONNECTION_ALLOWANCE_BYTES;
+use super::stream::ClientSocket;
 use super::*;
 use crate::driver;
 use crate::driver::tests::{SECOND, backend_entry};
@@ -9,6 +11,18 @@
 use tokio::time::Instant;
 
 const MS: Nanos = 1_000_000;
+const LIMITS: ServerLimits = ServerLimits { max_connections: 8, read_ahead_reserve_bytes: 16 * 1024 * 1024 };
+
+/// In memory, a close is only seen by reading.
+impl ClientSocket for tokio::io::DuplexStream {
+    fn close_reported(&self) -> bool {
+        false
+    }
+}
+
+fn no_reserve() -> ReadAheadReserve {
+    ReadAheadReserve::new(0)
+}
 
 /// Writes the texts to a connection, one second apart, and returns what was read until the node closed it, with the time
 /// that elapsed on the paused clock. The node has no backends, and rejects every request.
@@ -40,7 +54,8 @@
         received
     };
     let phases = phase.subscribe();
-    let exchange = async { tokio::join!(client, serve(stream, node.clone(), phases, || slots_scarce)).0 };
+    let exchange =
+        async { tokio::join!(client, serve(stream, node.clone(), phases, no_reserve(), || slots_scarce)).0 };
     let received = tokio::select! {
         received = exchange => received,
         () = node.run_timers() => unreachable!("timers never end"),
@@ -107,7 +122,8 @@
         let _ = peer.read_to_string(&mut received).await;
         (received, Instant::now())
     };
-    let exchange = async { tokio::join!(client, serve(stream, node.clone(), phases, || false)).0 };
+    let exchange =
+        async { tokio::join!(client, serve(stream, node.clone(), phases, no_reserve(), || false)).0 };
     let (received, ended_at) = tokio::select! {
         received = exchange => received,
         () = node.run_timers() => unreachable!("timers never end"),
@@ -129,7 +145,7 @@
     let (node, _) = driver::tests::node(0);
     let mut received = String::new();
     let serve = async {
-        spawn_connection(stream, &node, slot, &phases, || false);
+        spawn_connection(stream, &node, slot, &phases, &no_reserve(), || false);
         peer.write_all(HEALTH_CHECK.as_bytes()).await.expect("the node still reads");
         peer.read_to_string(&mut received).await.expect("a response and the close");
     };
@@ -194,7 +210,7 @@
     let (mut peer, stream) = tokio::io::duplex(64);
     let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
     let (node, _) = driver::tests::node(0);
-    let exchange = serve(stream, node, phases, || false);
+    let exchange = serve(stream, node, phases, no_reserve(), || false);
     let send_request = async {
         peer.write_all(HEALTH_CHECK.as_bytes()).await.expect("write succeeds");
         std::future::pending().await
@@ -233,7 +249,7 @@
             peer.write_all(API_REQUEST.as_bytes()).await.expect("write succeeds");
         }
         tokio::select! {
-            () = serve(stream, node.clone(), phases, || false) => {}
+            () = serve(stream, node.clone(), phases, no_reserve(), || false) => {}
             () = node.run_timers() => unreachable!("timers never end"),
         }
         assert!(began.elapsed() < Duration::from_millis(2250), "{:?}", began.elapsed());
@@ -265,7 +281,7 @@
                 closed_at
             };
             let serve = async {
-                serve(stream, node.clone(), phases, || false).await;
+                serve(stream, node.clone(), phases, no_reserve(), || false).await;
                 Instant::now()
             };
             let (closed_at, noticed_at) = tokio::select! {
@@ -299,12 +315,116 @@
     };
     tokio::select! {
         () = flood => unreachable!("the peer sends for ever"),
-        () = serve(stream, node.clone(), phases, || false) => panic!("the request is still pending"),
+        () = serve(stream, node.clone(), phases, no_reserve(), || false) => panic!("the request is still pending"),
         () = sleep(Duration::from_secs(1)) => {}
     }
     assert!((32 * 1024..100 * 1024).contains(&sent), "{sent}");
 }
 
+/// Guards against unbounded memory for many peers that keep sending: beyond its allowance, what a connection reads ahead
+/// counts against a reserve that all connections share, and is given back when it is closed.
+#[tokio::test(start_paused = true)]
+async fn read_ahead_of_all_connections_is_bounded_by_their_allowances_and_the_reserve() {
+    const PEERS: usize = 6;
+    const RESERVE_BYTES: usize = 300_000;
+    /// What the parser and the pipe hold besides, for each connection.
+    const OTHER_BUFFER_BYTES: usize = 68 * 1024;
+    let (node, transport) = driver::tests::node(SECOND);
+    node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
+    let reserve = ReadAheadReserve::new(RESERVE_BYTES);
+    let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+    let sent = Rc::new(Cell::new(0));
+    let work = async {
+        let mut servers = Vec::new();
+        for _ in 0..PEERS {
+            let (mut peer, stream) = tokio::io::duplex(1024);
+            let (node, phases, reserve, sent) = (node.clone(), phases.clone(), reserve.clone(), sent.clone());
+            servers.push(spawn_local(async move { serve(stream, node, phases, reserve, || false).await }));
+            spawn_local(async move {
+                peer.write_all(with_budget(API_REQUEST, 3000).as_bytes()).await.expect("write succeeds");
+                while let Ok(count) = peer.write(&[b'x'; 512]).await {
+                    sent.set(sent.get() + count);
+                }
+            });
+        }
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(transport.attempts.borrow().len(), PEERS);
+        let guaranteed = PEERS * CONNECTION_ALLOWANCE_BYTES + RESERVE_BYTES;
+        let bounds = guaranteed..guaranteed + PEERS * OTHER_BUFFER_BYTES;
+        assert!(bounds.contains(&sent.get()), "{} in {bounds:?}", sent.get());
+        assert_eq!(reserve.available(), 0);
+        for server in servers {
+            server.abort();
+            let _ = server.await;
+        }
+        assert_eq!(reserve.available(), RESERVE_BYTES);
+    };
+    tokio::task::LocalSet::new().run_until(work).await;
+}
+
+/// How a client ends its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    Close,
+    Reset,
+}
+
+impl ConnectionEnd {
+    fn apply(self, client: TcpStream) {
+        if self == Self::Reset {
+            client.set_zero_linger().expect("the option is set");
+        }
+        drop(client);
+    }
+}
+
+/// Writes as much of `text` as the system takes within a short time.
+async fn write_what_fits(client: &mut TcpStream, text: &str) -> usize {
+    let mut written = 0;
+    while let Ok(Ok(count @ 1..)) =
+        tokio::time::timeout(Duration::from_millis(50), client.write(&text.as_bytes()[written..])).await
+    {
+        written += count;
+    }
+    written
+}
+
+/// Guards against an attempt for a client that sent more than is read ahead and has gone: without room in the buffer, only
+/// the system's report of the close or the reset shows it.
+#[tokio::test]
+async fn the_close_of_a_client_is_noticed_behind_more_input_than_is_read_ahead() {
+    for (bytes, end) in [
+        (40_000, ConnectionEnd::Close),
+        (70_000, ConnectionEnd::Close),
+        (70_000, ConnectionEnd::Reset),
+        (3_000_000, ConnectionEnd::Reset),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let (node, transport) = driver::tests::node(SECOND);
+        node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
+        let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+        let limits = ServerLimits { read_ahead_reserve_bytes: 0, ..LIMITS };
+        let work = async {
+            spawn_local(run(listener, node.clone(), limits, phases));
+            let mut client = TcpStream::connect(address).await.expect("a connection");
+            let request = with_budget(API_REQUEST, 3000);
+            write_what_fits(&mut client, &request.repeat(bytes / request.len())).await;
+            while transport.attempts.borrow().is_empty() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            sleep(Duration::from_millis(20)).await;
+            let first = transport.attempts.borrow()[0].id;
+            assert!(node.may_send(first), "{bytes} {end:?}: the client is still connected");
+            end.apply(client);
+            sleep(Duration::from_millis(100)).await;
+            assert!(!node.may_send(first), "{bytes} {end:?}: the client has gone");
+            assert_eq!(transport.attempts.borrow().len(), 1, "{bytes} {end:?}");
+        };
+        tokio::task::LocalSet::new().run_until(work).await;
+    }
+}
+
 /// The client disconnects after its request was read and before the attempt is written, within one poll of the runtime.
 #[tokio::test]
 async fn an_attempt_is_not_sent_if_its_client_disconnects_as_it_starts() {
@@ -325,7 +445,7 @@
     let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
     let received = Rc::new(std::cell::RefCell::new(String::new()));
     let work = async {
-        spawn_local(run(listener, node.clone(), 8, phases));
+        spawn_local(run(listener, node.clone(), LIMITS, phases));
         let seen = received.clone();
         spawn_local(async move {
             let (mut stream, _) = backend.accept().await.expect("a connection");
@@ -390,7 +510,7 @@
     }
     let last = send_request("d");
     let work = async {
-        spawn_local(run(listener, node.clone(), 8, phases));
+        spawn_local(run(listener, node.clone(), LIMITS, phases));
         // Connections are accepted in order of arrival.
         while transport.attempts.borrow().is_empty() {
             tokio::task::yield_now().await;
@@ -449,7 +569,7 @@
         peer.write_all(b"x").await.expect_err("the node has closed");
         received
     };
-    let (received, ()) = tokio::join!(client, serve(stream, node, phases, || false));
+    let (received, ()) = tokio::join!(client, serve(stream, node, phases, no_reserve(), || false));
     assert!(received.starts_with("HTTP/1.1 503 "), "{received}");
 }
 
@@ -478,7 +598,7 @@
         received
     };
     let (received, ()) = tokio::select! {
-        result = async { tokio::join!(client, serve(stream, node.clone(), phases, || false)) } => result,
+        result = async { tokio::join!(client, serve(stream, node.clone(), phases, no_reserve(), || false)) } => result,
         () = node.run_timers() => unreachable!("timers never end"),
     };
     assert!(received.starts_with("HTTP/1.1 200 "), "{}", &received[..received.len().min(100)]);
--- /dev/null
+++ b/node/tests/client_disconnects.rs
@@ -0,0 +1,150 @@
+//! Clients that send many requests at once on a connection: what is forwarded for those that then close or reset it, and
+//! for those that stay.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use common::*;
+
+/// An attempt may begin this long after its client's close at the latest, with the allowance for sockets.
+const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(100 + 50);
+
+/// The requests that a client sends at once.
+#[derive(Clone, Copy, Debug)]
+struct Burst {
+    requests: usize,
+    body_bytes: usize,
+}
+
+/// From less than a kilobyte to more than a socket holds while nobody reads.
+const BURSTS: [Burst; 6] = [
+    Burst { requests: 5, body_bytes: 0 },
+    Burst { requests: 20, body_bytes: 1_500 },
+    Burst { requests: 60, body_bytes: 1_000 },
+    Burst { requests: 60, body_bytes: 4_000 },
+    Burst { requests: 20, body_bytes: 30_000 },
+    Burst { requests: 30, body_bytes: 60_000 },
+];
+
+impl Burst {
+    fn text(self, name: &str) -> String {
+        let body = "x".repeat(self.body_bytes);
+        (0..self.requests).map(|number| post("pay", &format!("{name}-{number}"), "", &body)).collect()
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum ConnectionEnd {
+    Close,
+    Reset,
+}
+
+/// When a client ends its connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LeaveTime {
+    /// As soon as it has sent everything.
+    AtOnce,
+    /// When its first request has reached a backend.
+    AfterFirstAttempt,
+}
+
+/// The ids of the requests that reached a backend, in order.
+type Arrivals = Arc<Mutex<Vec<String>>>;
+
+fn recording_backend(arrivals: &Arrivals, behavior: Behavior) -> Backend {
+    let arrivals = arrivals.clone();
+    Backend::new(move |request| {
+        arrivals.lock().unwrap().push(request.header("x-call-id").unwrap_or_default().to_owned());
+        behavior.clone()
+    })
+}
+
+/// The requests of one client that reached a backend.
+fn arrivals_of(arrivals: &Arrivals, name: &str) -> Vec<String> {
+    let prefix = format!("{name}-");
+    arrivals.lock().unwrap().iter().filter(|id| id.starts_with(&prefix)).cloned().collect()
+}
+
+fn send_and_leave(
+    address: SocketAddr,
+    arrivals: &Arrivals,
+    name: &str,
+    burst: Burst,
+    (end, time): (ConnectionEnd, LeaveTime),
+) {
+    let mut client = Client::connect(address);
+    client.write(&burst.text(name));
+    if time == LeaveTime::AfterFirstAttempt {
+        wait_until("the first request is forwarded", || !arrivals_of(arrivals, name).is_empty());
+    }
+    match end {
+        ConnectionEnd::Close => drop(client),
+        ConnectionEnd::Reset => client.reset(),
+    }
+}
+
+/// Guards against attempts for a client that sent more than the node reads ahead and has gone: its close went unnoticed
+/// behind the unread input, and the next request was forwarded when the first had been answered.
+#[test]
+fn no_attempt_begins_for_a_client_that_sent_much_and_has_gone() {
+    let (arrivals, gate) = (Arrivals::default(), Arc::new(Gate::default()));
+    let backends: Vec<Backend> = (0..8)
+        .map(|_| recording_backend(&arrivals, Behavior::RespondWhenOpen(gate.clone(), ok("paid"))))
+        .collect();
+    let (node, _discovery) = Node::with_backends(&backends.iter().collect::<Vec<_>>());
+    let mut clients = Vec::new();
+    for burst in BURSTS {
+        for end in [ConnectionEnd::Close, ConnectionEnd::Reset] {
+            for time in [LeaveTime::AtOnce, LeaveTime::AfterFirstAttempt] {
+                let (arrivals, address) = (arrivals.clone(), node.address);
+                let name = format!("client{}", clients.len());
+                clients.push(thread::spawn(move || {
+                    send_and_leave(address, &arrivals, &name, burst, (end, time));
+                    (name, burst, end, time)
+                }));
+            }
+        }
+    }
+    let clients: Vec<_> =
+        clients.into_iter().map(|client| client.join().expect("the client finishes")).collect();
+    thread::sleep(MAX_ATTEMPT_DELAY);
+    gate.open();
+    thread::sleep(2 * MAX_ATTEMPT_DELAY);
+    for (name, burst, end, time) in clients {
+        let forwarded = arrivals_of(&arrivals, &name);
+        assert!(forwarded.len() <= 1, "{burst:?}, {end:?}, {time:?}: {forwarded:?}");
+    }
+}
+
+/// Guards against reading ahead at the expense of clients that stay: each request is forwarded once and answered, in order.
+#[test]
+fn a_client_that_sends_much_and_stays_is_served() {
+    let arrivals = Arrivals::default();
+    let backend = recording_backend(&arrivals, Behavior::Respond(ok("paid")));
+    let (node, _discovery) = Node::with_backends(&[&backend]);
+    let clients: Vec<_> = BURSTS
+        .into_iter()
+        .enumerate()
+        .map(|(number, burst)| {
+            let (address, name) = (node.address, format!("client{number}"));
+            thread::spawn(move || {
+                let mut client = Client::connect(address);
+                client.write(&burst.text(&name));
+                let statuses: Vec<u16> = (0..burst.requests)
+                    .map_while(|_| client.read_response().map(|response| response.status()))
+                    .collect();
+                (statuses, name, burst)
+            })
+        })
+        .collect();
+    for client in clients {
+        let (statuses, name, burst) = client.join().expect("the client finishes");
+        assert_eq!(statuses, vec![200; burst.requests], "{burst:?}");
+        let expected: Vec<String> = (0..burst.requests).map(|number| format!("{name}-{number}")).collect();
+        assert_eq!(arrivals_of(&arrivals, &name), expected, "{burst:?}");
+    }
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -492,6 +492,11 @@
         read_message(&mut self.reader)
     }
 
+    /// Closes the connection with a reset.
+    pub fn reset(self) {
+        rustix::net::sockopt::set_socket_linger(&self.writer, Some(Duration::ZERO)).unwrap();
+    }
+
     pub fn request(&mut self, text: &str) -> Option<Message> {
         self.write(text);
         self.read_response()
