Look for a client's close before its request is submitted, with input behind it

Seen: a client sends a few requests at once, closes, and waits in the accept queue. Its first request was forwarded however long ago the close was; three requests of 279 bytes together were enough. Found on the paths related to the close behind unread input. Cause: node/src/server/connection.rs, serve: after the handler's yield in forward, the parser and with it the handler was polled before the input was read. A single request held, as the parser itself reads on while its buffer is empty. Beyond some 64 KiB the end of the stream also comes a little after a turn of the event loop that brings nothing, since it waits with the client until the node reads. Evidence: all of three clients each with 279 bytes and with 20 KB were forwarded. With only the order of polls changed, 279 bytes, 20 KB and 70 KB held and 300 KB failed; a trace shows reads of nothing with the rest 50 to 110 us later. Change: the supervisor looks for a close before it polls the parser. If input arrives behind a request, the request waits until none has arrived for 5 ms, at most 50 ms; without room to read ahead, each request waits 5 ms for the reset that answers the last response. A client that sends one request at a time never waits.

--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -91,7 +91,8 @@
             let first = !progress.request_seen.replace(true);
             progress.in_flight.set(true);
             let read_deadline = if first { accepted_at } else { Instant::now() } + REQUEST_READ_TIMEOUT;
-            let response = handle(&node, request, read_deadline, &handler_phase).await;
+            let response =
+                handle(&node, request, read_deadline, &handler_phase, stream.input_settled()).await;
             progress.in_flight.set(false);
             stream.mark_response_ready();
             response
@@ -104,13 +105,14 @@
         let reason = loop {
             let reason = tokio::select! {
                 biased;
+                // Before the parser, which polls the handler: no request is submitted that its client has given up by now.
+                () = peer_closed(&progress, &stream) => CloseReason::PeerClosed,
                 result = &mut connection => {
                     if let Err(error) = result {
                         tracing::debug!(cause = %error, "client connection failed");
                     }
                     CloseReason::ParserDone
                 }
-                () = peer_closed(&progress, &stream) => CloseReason::PeerClosed,
                 () = &mut closing_phase, if !closing => CloseReason::Shutdown,
                 reason = timed_out(&progress, &stream) => reason,
                 () = &mut shed_when_scarce => CloseReason::TimedOut,
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -9,7 +9,6 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
-use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 use super::phase::ShutdownPhase;
@@ -60,12 +59,14 @@
     }
 }
 
-/// Routes a request by its path.
+/// Routes a request by its path. `input_settled` resolves once a close that the client has made by now would have been
+/// noticed.
 pub async fn handle(
     node: &Node,
     request: Request<Incoming>,
     read_deadline: Instant,
     phase: &watch::Receiver<ShutdownPhase>,
+    input_settled: impl Future<Output = ()>,
 ) -> Result<HttpResponse, Infallible> {
     let serving = || *phase.borrow() == ShutdownPhase::Serving;
     let response_deadline = match *phase.borrow() {
@@ -76,7 +77,7 @@
     // the slots.
     let mut keep_alive = false;
     let mut response = match request.uri().path() {
-        "/api" => match forward(node, request, read_deadline, response_deadline).await {
+        "/api" => match forward(node, request, read_deadline, response_deadline, input_settled).await {
             Ok(response) => {
                 keep_alive = true;
                 response
@@ -121,6 +122,7 @@
     request: Request<Incoming>,
     read_deadline: Instant,
     response_deadline: Option<Instant>,
+    input_settled: impl Future<Output = ()>,
 ) -> Result<HttpResponse, RequestError> {
     let received_at = node.clock().now();
     let (head, body) = request.into_parts();
@@ -142,9 +144,8 @@
     if idempotency == Idempotency::Idempotent && !body.is_empty() {
         return Err(RequestError::NotAllowed("request body"));
     }
-    // The read that completes a request does not show whether the client has closed its connection since. Yields so that
-    // such a close is noticed before an attempt is made.
-    yield_now().await;
+    // The read that completes a request does not show whether the client has closed its connection since.
+    input_settled.await;
     let elapsed: Nanos = node.clock().now().saturating_sub(received_at);
     let budget = remaining_budget(budget, deadline, elapsed);
     let time_to_deadline =
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -13,13 +13,18 @@
 use bytes::Bytes;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::Instant;
+use tokio::task::yield_now;
+use tokio::time::{Instant, sleep};
 
 use super::read_ahead::{ReadAhead, ReadAheadReserve};
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 /// How often the system is asked whether the peer has closed, while the read-ahead buffer has no room.
 pub const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Input behind a request has settled once none has arrived for this long, about a round trip to a client.
+const MAX_INPUT_GAP: Duration = Duration::from_millis(5);
+/// How long a request waits at most for the input behind it to settle.
+const MAX_SETTLE_TIME: Duration = Duration::from_millis(50);
 
 /// A client's socket.
 pub trait ClientSocket: AsyncRead + AsyncWrite + Unpin {
@@ -52,6 +57,8 @@
     stream: Stream,
     /// Bytes read from the socket that the parser has not read yet.
     read_ahead: ReadAhead,
+    /// Bytes read from the socket so far.
+    received_bytes: u64,
     /// The peer has closed its side, or the connection failed.
     read_closed: bool,
     /// When the first byte arrived after the last response was sent.
@@ -63,8 +70,14 @@
 }
 
 impl<Stream> Inner<Stream> {
+    /// Stores input that was read ahead.
     fn append(&mut self, bytes: &[u8]) {
         self.read_ahead.append(bytes);
+        self.count_received(bytes.len());
+    }
+
+    fn count_received(&mut self, bytes: usize) {
+        self.received_bytes += bytes as u64;
         self.request_started_at.get_or_insert_with(Instant::now);
     }
 
@@ -117,6 +130,7 @@
         Self(Rc::new(RefCell::new(Inner {
             stream,
             read_ahead,
+            received_bytes: 0,
             read_closed: false,
             request_started_at: None,
             response_unsent: false,
@@ -135,6 +149,32 @@
         self.0.borrow().response_unsent
     }
 
+    /// Waits until no more input arrives behind a request, so that a close that the peer has already made is noticed. The
+    /// connection is supervised meanwhile: what arrives is read ahead, and the peer's system sends the rest, up to the end
+    /// of the stream.
+    pub async fn input_settled(&self) {
+        let give_up_at = Instant::now() + MAX_SETTLE_TIME;
+        let mut received_bytes = self.received_bytes();
+        yield_now().await;
+        while self.received_bytes() != received_bytes && Instant::now() < give_up_at {
+            received_bytes = self.received_bytes();
+            sleep(MAX_INPUT_GAP).await;
+        }
+        if self.is_read_ahead_full() {
+            // A close may be reported once the last response has reached the peer.
+            sleep(MAX_INPUT_GAP).await;
+        }
+    }
+
+    /// Whether a close by the peer cannot be seen by reading, as the read-ahead buffer has no room.
+    pub fn is_read_ahead_full(&self) -> bool {
+        self.0.borrow().is_read_ahead_full()
+    }
+
+    fn received_bytes(&self) -> u64 {
+        self.0.borrow().received_bytes
+    }
+
     /// When the first byte of the next request arrived, if any has.
     pub fn request_started_at(&self) -> Option<Instant> {
         self.0.borrow().request_started_at
@@ -202,11 +242,6 @@
         let closed = inner.read_closed || (inner.is_read_ahead_full() && inner.stream.close_reported());
         if closed { Poll::Ready(()) } else { Poll::Pending }
     }
-
-    /// Whether a close by the peer cannot be seen by reading, as the read-ahead buffer has no room.
-    pub fn is_read_ahead_full(&self) -> bool {
-        self.0.borrow().is_read_ahead_full()
-    }
 }
 
 impl<Stream: AsyncRead + Unpin> AsyncRead for ClientStream<Stream> {
@@ -219,9 +254,9 @@
         if inner.read_ahead.is_empty() && !inner.read_closed {
             let before = buffer.filled().len();
             ready!(Pin::new(&mut inner.stream).poll_read(context, buffer))?;
-            match buffer.filled().len() > before {
-                true => _ = inner.request_started_at.get_or_insert_with(Instant::now),
-                false => inner.read_closed = true,
+            match buffer.filled().len() - before {
+                0 => inner.read_closed = true,
+                count => inner.count_received(count),
             }
             return Poll::Ready(Ok(()));
         }
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -425,6 +425,34 @@
     }
 }
 
+/// Guards against forwarding the next request of a client whose close could not arrive, as the node had no room to read
+/// what the client had sent before: the client's system answers the response with a reset.
+#[tokio::test]
+async fn nothing_more_is_forwarded_once_a_response_has_met_a_closed_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    let (node, transport) = driver::tests::node(SECOND);
+    node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
+    let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+    let limits = ServerLimits { read_ahead_reserve_bytes: 0, ..LIMITS };
+    let work = async {
+        spawn_local(run(listener, node.clone(), limits, phases));
+        let mut client = TcpStream::connect(address).await.expect("a connection");
+        let request = with_budget(API_REQUEST, 3000);
+        write_what_fits(&mut client, &request.repeat(1_000_000 / request.len())).await;
+        while transport.attempts.borrow().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        drop(client);
+        sleep(Duration::from_millis(50)).await;
+        let first = transport.attempts.borrow()[0].id;
+        node.attempt_ended(first, driver::UpstreamResult::new(brookfield::Outcome::Served));
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(transport.attempts.borrow().len(), 1);
+    };
+    tokio::task::LocalSet::new().run_until(work).await;
+}
+
 /// The client disconnects after its request was read and before the attempt is written, within one poll of the runtime.
 #[tokio::test]
 async fn an_attempt_is_not_sent_if_its_client_disconnects_as_it_starts() {
@@ -523,6 +551,41 @@
     drop(last);
 }
 
+/// Covers connections that sent much, closed and then waited in the accept queue for longer than an attempt may begin.
+#[tokio::test]
+async fn nothing_is_forwarded_for_clients_that_sent_much_and_disconnected_before_accept() {
+    for bytes in [300, 20_000, 70_000, 300_000, 1_500_000] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let (node, transport) = driver::tests::node(SECOND);
+        node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
+        let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+        let request = with_budget(API_REQUEST, 3000);
+        let mut written = Vec::new();
+        for end in [ConnectionEnd::Close, ConnectionEnd::Reset, ConnectionEnd::Close] {
+            let mut client = TcpStream::connect(address).await.expect("a connection");
+            written.push(write_what_fits(&mut client, &request.repeat(bytes / request.len())).await);
+            end.apply(client);
+        }
+        sleep(Duration::from_millis(100)).await;
+        let mut last = TcpStream::connect(address).await.expect("a connection");
+        last.write_all(request.replace("Call-Id: 1", "Call-Id: last").as_bytes())
+            .await
+            .expect("write succeeds");
+        let work = async {
+            spawn_local(run(listener, node.clone(), LIMITS, phases));
+            while transport.attempts.borrow().is_empty() {
+                sleep(Duration::from_millis(1)).await;
+            }
+            sleep(Duration::from_millis(100)).await;
+        };
+        tokio::task::LocalSet::new().run_until(work).await;
+        let attempts = transport.attempts.borrow();
+        let forwarded: Vec<_> = attempts.iter().map(|attempt| &attempt.http.headers["x-call-id"]).collect();
+        assert_eq!(forwarded, ["last"], "{written:?} bytes");
+    }
+}
+
 /// Guards against losing a next request whose first bytes are already in the parser's buffer when closing begins.
 #[tokio::test(start_paused = true)]
 async fn a_partial_pipelined_request_is_served_while_the_node_closes() {
