--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -24,7 +24,8 @@
 /// Keep-alive timeout. Kept short because an idle connection holds one of a limited number of slots; clients expect that
 /// a connection may be closed after 2 s.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(2200);
-/// Time for the first request on a connection while slots are scarce, and on one opened during a shutdown.
+/// Time for the first request on a connection while slots are scarce, and on one opened during a shutdown. Clients send
+/// it at once.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time for a client to read a response. Longer than any client waits for one.
 const RESPONSE_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
--- a/src/backend_view.rs
+++ b/src/backend_view.rs
@@ -4,15 +4,17 @@
 use crate::state::*;
 use crate::subsetting::MANY_NODES_PER_ZONE;
 
-/// Time constant of a backend's average utilisation.
+/// Time constant of a backend's average utilisation: some report periods.
 pub(crate) const UTILISATION_TIME_CONSTANT: Nanos = 400 * MS;
-/// An older utilisation is ignored.
+/// An older utilisation is ignored; a zone with no newer one counts as a zone without reports.
 pub(crate) const UTILISATION_MAX_AGE: Nanos = 4 * SECOND;
-/// Time constant of a backend's slowness.
+/// Time constant of a backend's slowness: tens of responses long, and short against the seconds for which
+/// a noisy neighbour slows a backend down.
 const SLOWNESS_TIME_CONSTANT: Nanos = SECOND;
 /// Time constant with which the slowness of an unused backend decays, so that it is tried again.
 pub(crate) const SLOWNESS_DECAY: Nanos = 3 * SECOND;
-/// Number of samples over which a class's base latency is averaged.
+/// Number of samples over which a class's base latency is averaged: many, so that it changes slowly
+/// compared with the faults of a day.
 const MAX_BASE_SAMPLES: f64 = 400.0;
 /// Weight of a sample above the base latency, relative to one below it.
 const BASE_RISE_WEIGHT: f64 = 0.4;
--- a/src/concurrency.rs
+++ b/src/concurrency.rs
@@ -4,8 +4,8 @@
 use crate::api::*;
 use crate::state::*;
 
-/// Mean response time to hold, as a share of the latency target; low enough for few responses to miss the
-/// target.
+/// Mean response time to hold, as a share of the latency target. Response times spread evenly about the mean,
+/// so at this share few miss the target.
 const TARGET_LATENCY_SHARE: f64 = 0.35;
 /// Change of the limit for each result, times its distance from [`TARGET_LATENCY_SHARE`].
 const LIMIT_STEP: f64 = 0.5;
--- a/src/discovery.rs
+++ b/src/discovery.rs
@@ -13,8 +13,9 @@
 /// Largest relative step of a backend's long-term weight bias for each list, and the bounds of the bias.
 const BIAS_STEP: f64 = 0.15;
 const BIAS_BOUNDS: (f64, f64) = (0.1, 4.0);
-/// First delay before a failed watch is retried; doubles up to eightfold, with jitter. Short enough to obtain
-/// a missed list before the node counts as notified of it.
+/// First delay before a failed watch is retried; doubles up to eightfold, with jitter. Together with the time
+/// of the call itself, what a silent call missed arrives within the 6 s after which the node counts as
+/// notified of it.
 const WATCH_RETRY_BASE: Nanos = 300 * MS;
 
 impl Balancer {
--- a/src/events.rs
+++ b/src/events.rs
@@ -4,7 +4,8 @@
 use crate::api::*;
 use crate::state::*;
 
-/// Interval of housekeeping while requests are queued.
+/// Interval of housekeeping while requests are queued: short against latency targets of tens of milliseconds,
+/// and long enough to cost no noticeable CPU.
 const HOUSEKEEPING_INTERVAL: Nanos = 10 * MS;
 
 impl Balancer {
@@ -41,7 +42,7 @@
     }
 
     /// Arms the timer only while a queued request or a discovery retry needs it; with many nodes, a permanent
-    /// timer on each would cost more CPU than the requests.
+    /// timer on each would cost more CPU than all requests: it made days of the full fleet exceed their time.
     pub(crate) fn arm_timer(&mut self, actions: &mut Vec<Action>) {
         let queued = (!self.queue.is_empty()).then(|| self.now + self.housekeeping_interval());
         let Some(next) = queued.into_iter().chain(self.watch_retry_at.map(|at| at.max(self.now + MS))).min()
--- a/src/health.rs
+++ b/src/health.rs
@@ -42,7 +42,8 @@
         let rejected = outcome == Outcome::Full || table_full;
         let Some(backend) = self.backends.get_mut(&id) else { return };
         // Backs off, or a backend that rejects quickly would look idle and attract all traffic. With many
-        // nodes a refused connection may mean a full connection table and not a dead process.
+        // nodes a refused connection may mean a full connection table and not a dead process; a connection
+        // attempt that gets no answer cannot mean that.
         if rejected {
             backend.backoff_until =
                 self.now + (BASE_REJECTION_BACKOFF << backend.consecutive_rejections.min(4));
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -17,7 +17,8 @@
 /// trials that coincide.
 const UNMEASURED_BUDGET_SHARE: f64 = 0.2;
 const VARIANCE_SHARE: f64 = 0.5;
-/// Time constant of the measured capacity.
+/// Time constant of the measured capacity: some reports long, and short against the changes of a fleet's
+/// shape.
 const CAPACITY_TIME_CONSTANT: Nanos = 3 * SECOND;
 /// Lower bound on utilisation in the capacity estimate; dividing by less would amplify errors in reports.
 const MIN_UTILISATION: f64 = 0.5;
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,7 +10,8 @@
 
 pub(crate) const SECOND: Nanos = 1_000_000_000;
 pub(crate) const MS: Nanos = SECOND / 1000;
-/// Time constant of the rates that this node counts.
+/// Time constant of the rates that this node counts: long enough for some requests on each of many nodes, yet
+/// short against a fault.
 const RATE_TIME_CONSTANT: Nanos = 3 * SECOND;
 
 /// An exponentially weighted moving average, with the time of its last sample.
--- a/src/zone_overrides.rs
+++ b/src/zone_overrides.rs
@@ -7,7 +7,9 @@
 use crate::api::*;
 use crate::state::*;
 
-/// Largest decrease and increase of a zone's traffic share per second.
+/// Largest decrease and increase of a zone's traffic share per second. A drain takes 4 s, in which reports
+/// (some 100 ms old) and scores (every 100 ms) of the other zones follow; a return takes 20 s, in which cold
+/// backends warm up.
 const DRAIN_RATE: f64 = 0.25;
 const RETURN_RATE: f64 = 0.05;
 /// Relative spread of the rates of different nodes, so that they do not move in step.
