Share the set-up of a client with a burst of requests among two tests

Need: two new tests of disconnecting clients repeated the listener, the node, the burst and the wait for its first attempt.

--- a/node/src/server/tests/disconnects.rs
+++ b/node/src/server/tests/disconnects.rs
@@ -1,6 +1,7 @@
 //! Clients that close or reset their connections, and the read-ahead by which that is noticed.
 
 use super::*;
+use crate::driver::tests::RecordingTransport;
 use crate::server::read_ahead::CONNECTION_ALLOWANCE_BYTES;
 
 /// Guards against a parser that stops reading while it holds bytes of a next request, and so misses the close.
@@ -135,6 +136,28 @@
     written
 }
 
+/// Serves a client without a reserve for the read-ahead. The client sends `bytes` of requests at once, or as much as fits;
+/// `then` runs when the first one has been forwarded.
+async fn with_pending_burst(bytes: usize, then: impl AsyncFnOnce(TcpStream, &Node, &RecordingTransport)) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("its address");
+    let (node, transport) = driver::tests::node(SECOND);
+    node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
+    let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+    let limits = ServerLimits { read_ahead_reserve_bytes: 0, ..LIMITS };
+    let work = async {
+        spawn_local(run(listener, node.clone(), limits, phases));
+        let mut client = TcpStream::connect(address).await.expect("a connection");
+        let request = with_budget(API_REQUEST, 3000);
+        write_what_fits(&mut client, &request.repeat(bytes / request.len())).await;
+        while transport.attempts.borrow().is_empty() {
+            sleep(Duration::from_millis(1)).await;
+        }
+        then(client, &node, &transport).await;
+    };
+    tokio::task::LocalSet::new().run_until(work).await;
+}
+
 /// Guards against an attempt for a client that sent more than is read ahead and has gone: without room in the buffer, only
 /// the system's report of the close or the reset shows it.
 #[tokio::test]
@@ -145,20 +168,7 @@
         (70_000, ConnectionEnd::Reset),
         (3_000_000, ConnectionEnd::Reset),
     ] {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-        let address = listener.local_addr().expect("its address");
-        let (node, transport) = driver::tests::node(SECOND);
-        node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
-        let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
-        let limits = ServerLimits { read_ahead_reserve_bytes: 0, ..LIMITS };
-        let work = async {
-            spawn_local(run(listener, node.clone(), limits, phases));
-            let mut client = TcpStream::connect(address).await.expect("a connection");
-            let request = with_budget(API_REQUEST, 3000);
-            write_what_fits(&mut client, &request.repeat(bytes / request.len())).await;
-            while transport.attempts.borrow().is_empty() {
-                sleep(Duration::from_millis(1)).await;
-            }
+        with_pending_burst(bytes, async |client, node, transport| {
             sleep(Duration::from_millis(20)).await;
             let first = transport.attempts.borrow()[0].id;
             assert!(node.may_send(first), "{bytes} {end:?}: the client is still connected");
@@ -166,8 +176,8 @@
             sleep(Duration::from_millis(100)).await;
             assert!(!node.may_send(first), "{bytes} {end:?}: the client has gone");
             assert_eq!(transport.attempts.borrow().len(), 1, "{bytes} {end:?}");
-        };
-        tokio::task::LocalSet::new().run_until(work).await;
+        })
+        .await;
     }
 }
 
@@ -175,28 +185,15 @@
 /// what the client had sent before: the client's system answers the response with a reset.
 #[tokio::test]
 async fn nothing_more_is_forwarded_once_a_response_has_met_a_closed_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-    let address = listener.local_addr().expect("its address");
-    let (node, transport) = driver::tests::node(SECOND);
-    node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
-    let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
-    let limits = ServerLimits { read_ahead_reserve_bytes: 0, ..LIMITS };
-    let work = async {
-        spawn_local(run(listener, node.clone(), limits, phases));
-        let mut client = TcpStream::connect(address).await.expect("a connection");
-        let request = with_budget(API_REQUEST, 3000);
-        write_what_fits(&mut client, &request.repeat(1_000_000 / request.len())).await;
-        while transport.attempts.borrow().is_empty() {
-            sleep(Duration::from_millis(1)).await;
-        }
+    with_pending_burst(1_000_000, async |client, node, transport| {
         drop(client);
         sleep(Duration::from_millis(50)).await;
         let first = transport.attempts.borrow()[0].id;
         node.attempt_ended(first, driver::UpstreamResult::new(brookfield::Outcome::Served));
         sleep(Duration::from_millis(100)).await;
         assert_eq!(transport.attempts.borrow().len(), 1);
-    };
-    tokio::task::LocalSet::new().run_until(work).await;
+    })
+    .await;
 }
 
 /// The client disconnects after its request was read and before the attempt is written, within one poll of the runtime.
