--- a/node/src/server/read_ahead.rs
+++ b/node/src/server/read_ahead.rs
@@ -8,8 +8,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::ReadBuf;
 
-/// Bytes that a connection may hold without taking any from the reserve. Clients send one request at a time. So many
-/// bytes on every connection that a node may hold fit into half of the smallest memory limit.
+/// Bytes that a connection may hold without taking any from the reserve. Clients send one request at a time. Bounds the
+/// memory that a node needs with every connection slot in use.
 pub const CONNECTION_ALLOWANCE_BYTES: usize = 32 * 1024;
 /// Size of the blocks in which input is stored. Blocks keep the memory in use close to the number of bytes held.
 const BLOCK_BYTES: usize = 4 * 1024;
