--- a/node/tests/client_disconnects.rs
+++ b/node/tests/client_disconnects.rs
@@ -3,12 +3,15 @@
 
 mod common;
 
-use std::net::SocketAddr;
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::*;
+use serde_json::json;
 
 /// An attempt may begin this long after its client's close at the latest, with the allowance for sockets.
 const MAX_ATTEMPT_DELAY: Duration = Duration::from_millis(100 + 50);
@@ -148,3 +151,77 @@
         assert_eq!(arrivals_of(&arrivals, &name), expected, "{burst:?}");
     }
 }
+
+/// Connects and writes as much as the system takes without waiting.
+fn send_what_fits(address: SocketAddr, text: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("a connection");
+    stream.set_nonblocking(true).expect("non-blocking");
+    let mut rest = text.as_bytes();
+    while let Ok(count) = stream.write(rest)
+        && count > 0
+    {
+        rest = &rest[count..];
+    }
+    stream
+}
+
+/// Guards against further attempts for clients whose close cannot reach the node, as it waits behind more input than the
+/// node reads ahead.
+#[test]
+fn no_further_attempt_begins_for_clients_whose_close_waits_behind_unread_input() {
+    const CLIENTS: usize = 6;
+    /// More than the sockets and the node together hold.
+    const BURST: Burst = Burst { requests: 100, body_bytes: 60_000 };
+    const LEAST_MEMORY_MB: u64 = 32;
+    let arrivals: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
+    let backends: Vec<Backend> = (0..12)
+        .map(|_| {
+            let arrivals = arrivals.clone();
+            Backend::new(move |request| {
+                let id = request.header("x-call-id").unwrap_or_default().to_owned();
+                let mut arrivals = arrivals.lock().unwrap();
+                let first = arrivals.iter().all(|(earlier, _)| *earlier != id);
+                arrivals.push((id, Instant::now()));
+                drop(arrivals);
+                thread::sleep(2 * MAX_ATTEMPT_DELAY);
+                // The balancer tries another backend.
+                Behavior::Respond(if first { status(503, "X-Rejected: 1\r\n") } else { ok("paid") })
+            })
+        })
+        .collect();
+    let targets: Vec<_> = (0..)
+        .zip(&backends)
+        .map(|(n, backend)| target(&format!("s-{n}"), backend.address, "Ready"))
+        .collect();
+    let discovery = Discovery::new(json!(targets));
+    let mut config = config(discovery.address, json!(targets));
+    config["limits"]["memory_mb"] = json!(LEAST_MEMORY_MB);
+    let node = Node::start(&config);
+    discovery.wait_for_watch_from(1);
+    let mut closes = HashMap::new();
+    for stay in [Duration::ZERO, MAX_ATTEMPT_DELAY] {
+        let connections: Vec<(String, TcpStream)> = (0..CLIENTS)
+            .map(|number| {
+                let name = format!("client{}x{number}", stay.as_millis());
+                let stream = send_what_fits(node.address, &BURST.text(&name));
+                (name, stream)
+            })
+            .collect();
+        thread::sleep(stay);
+        closes.extend(connections.into_iter().map(|(name, stream)| {
+            drop(stream);
+            (name, Instant::now())
+        }));
+    }
+    thread::sleep(6 * MAX_ATTEMPT_DELAY);
+    let arrivals = arrivals.lock().unwrap();
+    let late: Vec<(&String, Duration)> = arrivals
+        .iter()
+        .filter_map(|(id, at)| {
+            let closed_at = closes[id.split('-').next().expect("the client's name")];
+            let delay = at.saturating_duration_since(closed_at);
+            (delay > MAX_ATTEMPT_DELAY).then_some((id, delay))
+        })
+        .collect();
+    assert!(late.is_empty(), "{} of {} attempts began late: {late:?}", late.len(), arrivals.len());
+}
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers: runs a node as a process, with scripted backends, discovery and clients on loopback sockets.
 #![allow(dead_code)]
 
+pub mod pressure;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -71,6 +73,8 @@
     Hang,
     /// Waits for the gate, then writes the bytes.
     RespondWhenOpen(Arc<Gate>, String),
+    /// Writes the bytes evenly over the time, and keeps the connection open.
+    RespondSlowly(String, Duration),
 }
 
 pub fn ok(body: &str) -> String {
@@ -157,6 +161,7 @@
                 gate.wait();
                 writer.write_all(text.as_bytes())
             }
+            Behavior::RespondSlowly(text, duration) => write_slowly(&mut writer, &text, duration),
             Behavior::RespondAndClose(text) => {
                 let _ = writer.write_all(text.as_bytes());
                 let _ = writer.shutdown(Shutdown::Write);
@@ -172,6 +177,15 @@
     }
 }
 
+fn write_slowly(writer: &mut TcpStream, text: &str, duration: Duration) -> std::io::Result<()> {
+    const PIECES: usize = 40;
+    for piece in text.as_bytes().chunks(text.len().div_ceil(PIECES)) {
+        thread::sleep(duration / PIECES as u32);
+        writer.write_all(piece)?;
+    }
+    Ok(())
+}
+
 /// What discovery does with a call.
 #[derive(Clone, Copy, PartialEq)]
 pub enum CallBehavior {
@@ -348,10 +362,13 @@
 
 /// Starts the node with this configuration text.
 pub fn spawn(config: &str) -> Child {
-    spawn_with_config(Command::new(BINARY), config, &[]).0
+    spawn_with_config(Command::new(binary()), config, &[]).0
 }
 
-const BINARY: &str = env!("CARGO_BIN_EXE_badgerpost");
+/// The node's program: the one just built, or the one that `NODE_BINARY` names, to compare two versions.
+fn binary() -> String {
+    std::env::var("NODE_BINARY").unwrap_or_else(|_| env!("CARGO_BIN_EXE_badgerpost").to_owned())
+}
 
 fn spawn_with_config(mut program: Command, config: &str, variables: &[(&str, &str)]) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
@@ -392,13 +409,13 @@
 
     /// Starts with additional environment variables.
     pub fn start_with_env(config: &Value, variables: &[(&str, &str)]) -> Self {
-        Self::run(Command::new(BINARY), config, variables)
+        Self::run(Command::new(binary()), config, variables)
     }
 
     /// Starts with the process's descriptor limit set to that of the configuration.
     pub fn start_with_descriptor_limit(config: &Value) -> Self {
         let mut program = Command::new("sh");
-        program.args(["-c", &format!("ulimit -n {}; exec \"$0\"", config["limits"]["sockets"]), BINARY]);
+        program.args(["-c", &format!("ulimit -n {}; exec \"$0\"", config["limits"]["sockets"]), &binary()]);
         Self::run(program, config, &[])
     }
 
@@ -437,6 +454,13 @@
         self.log.lock().unwrap().lines().filter(|line| line.contains(text)).map(str::to_owned).collect()
     }
 
+    /// Peak of the process's resident memory, in KiB.
+    pub fn peak_resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     pub fn signal(&self, name: &str) {
         let done = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(done.success());
