Count the memory that peers make the node hold, and log the balance beside resident memory

The logs of the killed nodes show nothing; neither what was held nor for whom can be told from them.

Nothing is refused yet: client and backend connections, what is read ahead, received bodies and the list are counted. Each second the balance by kind and the resident memory are logged (debug; a warning above three quarters of the budget; limited in rate like every line).

--- a/node/src/driver/backends.rs
+++ b/node/src/driver/backends.rs
@@ -176,6 +176,11 @@
         })
     }
 
+    /// Number of backends on the list.
+    pub fn len(&self) -> usize {
+        self.known.len()
+    }
+
     pub fn any_in_service(&self) -> bool {
         self.known.values().any(|known| known.draining_since.is_none())
     }
--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -25,11 +25,13 @@
 use tokio::sync::{Notify, oneshot};
 use tracing::Level;
 
+use crate::memory::{Account, Kind, Permit};
 use backends::Backends;
 use requests::RequestTable;
 use timers::{Timer, TimerQueue};
 pub use types::{
-    Attempt, AttemptId, BackendEntry, ClientRequest, FinalResponse, HttpRequest, ListState, UpstreamResult,
+    Attempt, AttemptId, BackendEntry, ClientRequest, FinalResponse, HttpRequest, ListState, RequestMemory,
+    UpstreamResult,
 };
 
 /// How long after its deadline the driver fails a request that the balancer has left open. Longer than the
@@ -37,6 +39,8 @@
 const WATCHDOG_DELAY_NS: Nanos = 20_000_000;
 
 const NANOS_PER_MS: Nanos = 1_000_000;
+/// Memory for each backend on the list: its state here and in the balancer, and its entry while a list is parsed.
+const BYTES_PER_BACKEND: usize = 1536;
 /// Log target for slow start: attempts that it allows are logged at debug, those that it denies at trace.
 const SLOW_START: &str = "badgerpost::slow_start";
 
@@ -64,6 +68,8 @@
     timers: TimerQueue,
     /// Whether the balancer has requested the full list.
     fetch_requested: bool,
+    /// The memory that the list of backends takes.
+    list_memory: Option<Permit>,
 }
 
 /// Work to be done once the borrow of the driver has ended.
@@ -107,6 +113,7 @@
             backends: Backends::default(),
             timers: TimerQueue::default(),
             fetch_requested: false,
+            list_memory: None,
         };
         let driver = Rc::new(RefCell::new(driver));
         let (timer_changed, discovery_request, list) = Default::default();
@@ -179,6 +186,11 @@
         self.with_driver(|driver, deferred| driver.attempt_ended(id, result, deferred));
     }
 
+    /// Counts the memory that the list of backends takes against an account.
+    pub fn account_for_list(&self, account: &Account) {
+        self.driver.borrow_mut().list_memory = Some(account.hold(Kind::BackendList, 0));
+    }
+
     /// Applies a list from discovery or the registry.
     pub fn update_backends(&self, scope: ListScope, list: Vec<BackendEntry>) {
         self.with_driver(|driver, deferred| driver.update_backends(scope, list, deferred));
@@ -541,5 +553,7 @@
         deferred.close_idle.extend(change.close_idle);
         self.handle_event(Event::BackendList { scope, members: change.members }, deferred);
         deferred.close_idle.extend(self.backends.remove(change.removed, now));
+        let list_bytes = self.backends.len() * BYTES_PER_BACKEND;
+        self.list_memory.iter_mut().for_each(|memory| memory.set(list_bytes));
     }
 }
--- a/node/src/driver/tests.rs
+++ b/node/src/driver/tests.rs
@@ -8,6 +8,7 @@
 use hyper::{HeaderMap, Method, Uri};
 
 use super::*;
+use crate::memory::Budget;
 
 /// Records the calls it gets.
 #[derive(Default)]
@@ -88,6 +89,7 @@
         target: Uri::from_static("/api"),
         headers: HeaderMap::new(),
         body: Bytes::new(),
+        memory: RequestMemory { account: Budget::unlimited().account(), permits: Vec::new() },
     };
     ClientRequest { class: 0, tenant: None, cost_hint: None, is_retry: false, budget, http }
 }
--- a/node/src/driver/types.rs
+++ b/node/src/driver/types.rs
@@ -6,6 +6,8 @@
 use brookfield::{BackendId, LoadReport, Nanos, Outcome, RequestId, Stage};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
+
+use crate::memory::{Account, Permit};
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -17,6 +19,15 @@
     /// End-to-end headers, without the hop-by-hop ones.
     pub headers: HeaderMap,
     pub body: Bytes,
+    pub memory: RequestMemory,
+}
+
+/// The memory that a request holds, until its last attempt has ended.
+pub struct RequestMemory {
+    /// The account of its client's connection, which its response counts against too.
+    pub account: Account,
+    /// For its fields, copies of them in attempts, and its body.
+    pub permits: Vec<Permit>,
 }
 
 /// The response that the client of a request gets.
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -6,6 +6,7 @@
 mod discovery;
 mod driver;
 mod log;
+mod memory;
 mod os_error;
 mod registry;
 mod server;
@@ -50,8 +51,6 @@
 /// Descriptors kept for the runtime, the standard streams, the listener and discovery.
 const RESERVED_DESCRIPTORS: usize = 16;
 
-const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
-
 /// Log target of the line with the listen address, so that a filter can enable it alone.
 const STARTED_TARGET: &str = "badgerpost::started";
 /// Environment variable with the path of the fleet file. Without it the backend list comes from discovery.
@@ -142,14 +141,16 @@
     let seed =
         u64::from_str_radix(&config.seed, 16).map_err(|_| StartError::InvalidSeed(config.seed.clone()))?;
     let (max_connections, backends) = split_descriptors(config.limits.sockets)?;
-    // A limit that is no positive number leaves no reserve.
     let read_ahead_reserve_bytes =
-        (config.limits.memory_mb * BYTES_PER_MB * READ_AHEAD_MEMORY_SHARE) as usize;
+        (memory::limit_bytes(config.limits.memory_mb) as f64 * READ_AHEAD_MEMORY_SHARE) as usize;
+    let budget = memory::budget_for(config.limits.memory_mb);
+    spawn_local(memory::report(budget.clone()));
     let clock = Clock::start();
-    let upstream = Upstream::new(parsed.connections, clock, backends);
+    let upstream = Upstream::new(parsed.connections, clock, backends, &budget);
     spawn_local(Upstream::sweep(upstream.pool()));
     let node = Node::new(parsed.settings, parsed.names, seed, clock, Rc::new(upstream))
         .map_err(|error| StartError::InvalidSettings(error.to_string()))?;
+    node.account_for_list(&budget.account());
     let (discovery_address, discovery_changes) = watch::channel(config.discovery);
     let fleet = read_fleet()?;
     if let Some(fleet) = &fleet {
@@ -178,6 +179,7 @@
         listener,
         node,
         ServerLimits { max_connections, read_ahead_reserve_bytes },
+        budget,
         phases,
     ));
     shutdown_signal(&mut terminate, &mut interrupt).await;
--- /dev/null
+++ b/node/src/memory/budget.rs
@@ -0,0 +1,374 @@
+//! The budget of bytes: grants permits, queues requests for permits that do not fit, and keeps the accounts of their holders.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use tokio::sync::{Notify, oneshot};
+use tokio::time::Instant;
+
+use super::eviction::Candidate;
+use super::kind::Kind;
+
+/// Waiters that have given up are removed from a queue that has grown to this length.
+const PRUNE_QUEUE_LENGTH: usize = 1024;
+
+/// What the holder of an account is doing, which decides whether it may be evicted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Nothing that could be given up: it waits for a request, or a request may be running.
+    Kept,
+    /// It receives a request, of which nothing was forwarded yet.
+    Receiving,
+    /// Its client is to read a response.
+    Responding,
+}
+
+/// The budget. Clones share it.
+#[derive(Clone)]
+pub struct Budget {
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    capacity: usize,
+    state: Mutex<State>,
+    /// Notified when a request for a permit is queued.
+    shortage: Notify,
+}
+
+#[derive(Default)]
+struct State {
+    held: [usize; Kind::ALL.len()],
+    total: usize,
+    queues: [VecDeque<Waiter>; Kind::ALL.len()],
+    accounts: HashMap<u64, AccountState>,
+    next_account: u64,
+}
+
+struct Waiter {
+    account: u64,
+    bytes: usize,
+    granted: oneshot::Sender<Permit>,
+}
+
+struct AccountState {
+    bytes: usize,
+    stage: Stage,
+    since: Instant,
+    evicted: bool,
+    eviction: Arc<Notify>,
+}
+
+impl State {
+    fn fits(&self, kind: Kind, bytes: usize, capacity: usize) -> bool {
+        self.total.saturating_add(bytes) <= kind.ceiling(capacity)
+    }
+
+    /// Whether somebody waits for a permit of this kind, or of one that gives way later.
+    fn is_queued(&mut self, kind: Kind) -> bool {
+        self.queues[kind.index()..].iter_mut().any(|queue| {
+            while queue.front().is_some_and(|waiter| waiter.granted.is_closed()) {
+                queue.pop_front();
+            }
+            !queue.is_empty()
+        })
+    }
+
+    fn add(&mut self, account: u64, kind: Kind, bytes: usize) {
+        self.total += bytes;
+        self.held[kind.index()] += bytes;
+        if let Some(account) = self.accounts.get_mut(&account) {
+            account.bytes += bytes;
+        }
+    }
+
+    fn remove(&mut self, account: u64, kind: Kind, bytes: usize) {
+        self.total -= bytes;
+        self.held[kind.index()] -= bytes;
+        if let Some(account) = self.accounts.get_mut(&account) {
+            account.bytes -= bytes;
+        }
+    }
+
+    /// Takes the waiters whose permits fit now, those of the kinds that give way last first.
+    fn take_grantable(&mut self, capacity: usize) -> Vec<(Kind, Waiter)> {
+        let mut grantable = Vec::new();
+        for kind in Kind::ALL.into_iter().rev() {
+            while let Some(waiter) = self.queues[kind.index()].pop_front() {
+                if waiter.granted.is_closed() {
+                    continue;
+                }
+                if !self.fits(kind, waiter.bytes, capacity) {
+                    self.queues[kind.index()].push_front(waiter);
+                    return grantable;
+                }
+                self.add(waiter.account, kind, waiter.bytes);
+                grantable.push((kind, waiter));
+            }
+        }
+        grantable
+    }
+}
+
+impl Budget {
+    /// Creates a budget of `capacity` bytes.
+    pub fn new(capacity: usize) -> Self {
+        let shared = Shared { capacity, state: Mutex::default(), shortage: Notify::new() };
+        Self { shared: Arc::new(shared) }
+    }
+
+    /// A budget that grants everything.
+    #[cfg(test)]
+    pub fn unlimited() -> Self {
+        Self::new(usize::MAX)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Opens an account.
+    pub fn account(&self) -> Account {
+        let mut state = self.state();
+        let id = state.next_account;
+        state.next_account += 1;
+        let eviction = Arc::new(Notify::new());
+        let account = AccountState {
+            bytes: 0,
+            stage: Stage::Kept,
+            since: Instant::now(),
+            evicted: false,
+            eviction: eviction.clone(),
+        };
+        state.accounts.insert(id, account);
+        Account { inner: Arc::new(AccountInner { budget: self.clone(), id, eviction }) }
+    }
+
+    /// Bytes that may be held in all.
+    pub fn capacity(&self) -> usize {
+        self.shared.capacity
+    }
+
+    /// Bytes held in all.
+    pub fn total(&self) -> usize {
+        self.state().total
+    }
+
+    /// Bytes held of each kind.
+    pub fn held(&self) -> impl Iterator<Item = (Kind, usize)> {
+        let held = self.state().held;
+        Kind::ALL.into_iter().map(move |kind| (kind, held[kind.index()]))
+    }
+
+    /// Bytes of this kind that would be granted now.
+    pub fn available(&self, kind: Kind) -> usize {
+        let mut state = self.state();
+        if state.is_queued(kind) {
+            return 0;
+        }
+        kind.ceiling(self.shared.capacity).saturating_sub(state.total)
+    }
+
+    /// Waits until a request for a permit is queued.
+    pub(super) async fn shortage(&self) {
+        self.shared.shortage.notified().await;
+    }
+
+    /// Bytes that have to be given back before the next waiter gets its permit; none without a waiter.
+    pub(super) fn missing(&self) -> Option<usize> {
+        let mut state = self.state();
+        for kind in Kind::ALL.into_iter().rev() {
+            if !state.is_queued(kind) {
+                continue;
+            }
+            let bytes = state.queues[kind.index()].front().map_or(0, |waiter| waiter.bytes);
+            return Some((state.total + bytes).saturating_sub(kind.ceiling(self.shared.capacity)));
+        }
+        None
+    }
+
+    /// The holders that may be evicted. Those evicted already are left out.
+    pub(super) fn candidates(&self, now: Instant) -> Vec<Candidate> {
+        let state = self.state();
+        let evictable =
+            state.accounts.iter().filter(|(_, account)| !account.evicted && account.stage != Stage::Kept);
+        evictable
+            .map(|(id, account)| Candidate {
+                account: *id,
+                stage: account.stage,
+                bytes: account.bytes,
+                held_for: now.saturating_duration_since(account.since),
+            })
+            .collect()
+    }
+
+    /// Tells holders to give up their bytes.
+    pub(super) fn evict(&self, accounts: &[u64]) {
+        let mut state = self.state();
+        for id in accounts {
+            let Some(account) = state.accounts.get_mut(id) else { continue };
+            account.evicted = true;
+            account.eviction.notify_waiters();
+        }
+    }
+
+    fn permit(&self, account: u64, kind: Kind, bytes: usize) -> Permit {
+        Permit { budget: self.clone(), account, kind, bytes }
+    }
+
+    /// Hands out permits to waiters after bytes were given back.
+    fn grant_waiters(&self) {
+        let grantable = self.state().take_grantable(self.shared.capacity);
+        for (kind, waiter) in grantable {
+            let Waiter { account, bytes, granted } = waiter;
+            // A waiter that has just given up drops the permit, which gives its bytes back.
+            let _ = granted.send(self.permit(account, kind, bytes));
+        }
+    }
+}
+
+/// The account of one holder of permits. Clones share it.
+#[derive(Clone)]
+pub struct Account {
+    inner: Arc<AccountInner>,
+}
+
+struct AccountInner {
+    budget: Budget,
+    id: u64,
+    eviction: Arc<Notify>,
+}
+
+impl Drop for AccountInner {
+    fn drop(&mut self) {
+        self.budget.state().accounts.remove(&self.id);
+    }
+}
+
+impl Account {
+    /// The budget that it draws from.
+    pub fn budget(&self) -> &Budget {
+        &self.inner.budget
+    }
+
+    /// Grants a permit if it fits and nobody waits for one.
+    pub fn try_acquire(&self, kind: Kind, bytes: usize) -> Option<Permit> {
+        let budget = &self.inner.budget;
+        let mut state = budget.state();
+        if state.is_queued(kind) || !state.fits(kind, bytes, budget.shared.capacity) {
+            return None;
+        }
+        state.add(self.inner.id, kind, bytes);
+        drop(state);
+        Some(budget.permit(self.inner.id, kind, bytes))
+    }
+
+    /// Waits until a permit fits. Permits of a kind are granted in order.
+    pub async fn acquire(&self, kind: Kind, bytes: usize) -> Permit {
+        if let Some(permit) = self.try_acquire(kind, bytes) {
+            return permit;
+        }
+        let (granted, permit) = oneshot::channel();
+        let budget = &self.inner.budget;
+        {
+            let mut state = budget.state();
+            let queue = &mut state.queues[kind.index()];
+            if queue.len() >= PRUNE_QUEUE_LENGTH {
+                queue.retain(|waiter| !waiter.granted.is_closed());
+            }
+            queue.push_back(Waiter { account: self.inner.id, bytes, granted });
+        }
+        budget.shared.shortage.notify_one();
+        match permit.await {
+            Ok(permit) => permit,
+            // Waiters are removed from the queue only when granted or when this future was dropped.
+            Err(_) => std::future::pending().await,
+        }
+    }
+
+    /// Takes a permit even if it does not fit, for bytes that are held already.
+    pub fn hold(&self, kind: Kind, bytes: usize) -> Permit {
+        self.inner.budget.state().add(self.inner.id, kind, bytes);
+        self.inner.budget.permit(self.inner.id, kind, bytes)
+    }
+
+    /// Records what the holder is doing. The time for which it holds its bytes counts from a change.
+    pub fn set_stage(&self, stage: Stage) {
+        let mut state = self.inner.budget.state();
+        if let Some(account) = state.accounts.get_mut(&self.inner.id)
+            && account.stage != stage
+        {
+            (account.stage, account.since) = (stage, Instant::now());
+        }
+    }
+
+    /// Whether the holder has to give up its bytes.
+    pub fn is_evicted(&self) -> bool {
+        self.inner.budget.state().accounts.get(&self.inner.id).is_some_and(|account| account.evicted)
+    }
+
+    /// Resolves once the holder has to give up its bytes.
+    pub async fn evicted(&self) {
+        loop {
+            let mut notified = std::pin::pin!(self.inner.eviction.notified());
+            notified.as_mut().enable();
+            if self.is_evicted() {
+                return;
+            }
+            notified.await;
+        }
+    }
+}
+
+/// The right to hold bytes, given back when dropped.
+pub struct Permit {
+    budget: Budget,
+    account: u64,
+    kind: Kind,
+    bytes: usize,
+}
+
+impl Permit {
+    /// Bytes that may be held.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Adds the bytes of a permit of the same account and kind.
+    pub fn merge(&mut self, mut other: Permit) {
+        debug_assert!(self.kind == other.kind && self.account == other.account);
+        self.bytes += std::mem::take(&mut other.bytes);
+    }
+
+    /// Gives back what exceeds `bytes`.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let surplus = self.bytes.saturating_sub(bytes);
+        if surplus > 0 {
+            self.bytes = bytes;
+            self.give_back(surplus);
+        }
+    }
+
+    /// Holds exactly `bytes`, even if more do not fit.
+    pub fn set(&mut self, bytes: usize) {
+        if bytes > self.bytes {
+            self.budget.state().add(self.account, self.kind, bytes - self.bytes);
+            self.bytes = bytes;
+        } else {
+            self.shrink_to(bytes);
+        }
+    }
+
+    fn give_back(&self, bytes: usize) {
+        self.budget.state().remove(self.account, self.kind, bytes);
+        self.budget.grant_waiters();
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if self.bytes > 0 {
+            self.give_back(self.bytes);
+        }
+    }
+}
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -20,6 +20,7 @@
 use super::read_ahead::ReadAheadReserve;
 use super::stream::{CLOSE_CHECK_INTERVAL, ClientSocket, ClientStream};
 use crate::driver::Node;
+use crate::memory::Kind;
 
 /// Keep-alive timeout. Kept short because an idle connection holds one of a limited number of slots; clients expect that
 /// a connection may be closed after 2 s.
@@ -32,6 +33,8 @@
 /// Time for a request to be received in full: the first one of a connection counted from the accept, the head of a later
 /// one from its first byte and the body from the end of the head. A peer gets an error or a close within 3 s.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2600);
+/// Memory of a connection: its task, the parser's first block, and the first block that is read ahead.
+const CONNECTION_BYTES: usize = 16 * 1024;
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Lingering close: input that arrives after the node has closed its side is read and discarded for this long and up to
 /// `MAX_LINGER_BYTES`. Closing a socket with unread input resets the connection, and the client may lose the response.
@@ -73,7 +76,9 @@
     let accepted_at = Instant::now();
     let progress =
         RequestProgress { accepted_at, request_seen: Cell::new(false), in_flight: Cell::new(false) };
-    let stream = ClientStream::new(stream, reserve);
+    let account = reserve.budget().account();
+    let _memory = account.hold(Kind::ClientConnection, CONNECTION_BYTES);
+    let stream = ClientStream::new(stream, reserve, &account);
     let opened_during_shutdown = *phase.borrow() != ShutdownPhase::Serving;
     let handler_phase = phase.clone();
     let mut closing_phase = std::pin::pin!(async {
@@ -93,7 +98,7 @@
             progress.in_flight.set(true);
             let read_deadline = if first { accepted_at } else { Instant::now() } + REQUEST_READ_TIMEOUT;
             let response =
-                handle(&node, request, read_deadline, &handler_phase, stream.input_settled()).await;
+                handle(&node, request, &account, read_deadline, &handler_phase, stream.input_settled()).await;
             progress.in_flight.set(false);
             stream.mark_response_ready();
             response
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -12,7 +12,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::phase::ShutdownPhase;
-use crate::driver::{ClientRequest, FinalResponse, HttpRequest, Node};
+use crate::driver::{ClientRequest, FinalResponse, HttpRequest, Node, RequestMemory};
+use crate::memory::{Account, Kind};
 use crate::upstream::MAX_BODY_BYTES;
 
 /// Part of a client's time budget that is set aside for the network between client and node: a response sent at the very
@@ -64,6 +65,7 @@
 pub async fn handle(
     node: &Node,
     request: Request<Incoming>,
+    account: &Account,
     read_deadline: Instant,
     phase: &watch::Receiver<ShutdownPhase>,
     input_settled: impl Future<Output = ()>,
@@ -77,16 +79,18 @@
     // the slots.
     let mut keep_alive = false;
     let mut response = match request.uri().path() {
-        "/api" => match forward(node, request, read_deadline, response_deadline, input_settled).await {
-            Ok(response) => {
-                keep_alive = true;
-                response
+        "/api" => {
+            match forward(node, request, account, read_deadline, response_deadline, input_settled).await {
+                Ok(response) => {
+                    keep_alive = true;
+                    response
+                }
+                Err(error) => {
+                    tracing::debug!(cause = %error, "invalid request rejected");
+                    plain_response(error.status(), &error.to_string())
+                }
             }
-            Err(error) => {
-                tracing::debug!(cause = %error, "invalid request rejected");
-                plain_response(error.status(), &error.to_string())
-            }
-        },
+        }
         "/health/ready" if request.method() != Method::GET => {
             plain_response(StatusCode::METHOD_NOT_ALLOWED, "GET only")
         }
@@ -120,6 +124,7 @@
 async fn forward(
     node: &Node,
     request: Request<Incoming>,
+    account: &Account,
     read_deadline: Instant,
     response_deadline: Option<Instant>,
     input_settled: impl Future<Output = ()>,
@@ -160,6 +165,10 @@
             method: head.method,
             target: head.uri,
             headers: remove_hop_by_hop(head.headers),
+            memory: RequestMemory {
+                account: account.clone(),
+                permits: vec![account.hold(Kind::RequestBody, body.len())],
+            },
             body,
         },
     };
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -23,6 +23,7 @@
 use tokio::time::sleep;
 
 use crate::driver::Node;
+use crate::memory::Budget;
 use crate::os_error::is_per_connection;
 use crate::upstream::set_nodelay;
 pub use phase::ShutdownPhase;
@@ -72,11 +73,12 @@
     listener: TcpListener,
     node: Node,
     limits: ServerLimits,
+    budget: Budget,
     phase: watch::Receiver<ShutdownPhase>,
 ) {
     let slots = Arc::new(Semaphore::new(limits.max_connections));
     let connections = Rc::new(OpenConnections::default());
-    let reserve = ReadAheadReserve::new(limits.read_ahead_reserve_bytes);
+    let reserve = ReadAheadReserve::new(limits.read_ahead_reserve_bytes, budget);
     let scarce_threshold = limits.max_connections / SCARCE_SLOT_DIVISOR;
     let accept_loop = async {
         loop {
--- a/node/src/server/read_ahead.rs
+++ b/node/src/server/read_ahead.rs
@@ -8,6 +8,8 @@
 use bytes::{Buf, Bytes, BytesMut};
 use tokio::io::ReadBuf;
 
+use crate::memory::{Account, Budget, Kind, Permit};
+
 /// Bytes that a connection may hold without taking any from the reserve. Clients send one request at a time. Bounds the
 /// memory that a node needs with every connection slot in use.
 pub const CONNECTION_ALLOWANCE_BYTES: usize = 32 * 1024;
@@ -18,12 +20,18 @@
 #[derive(Clone)]
 pub struct ReadAheadReserve {
     available_bytes: Rc<Cell<usize>>,
+    budget: Budget,
 }
 
 impl ReadAheadReserve {
-    /// Creates a reserve of `bytes`.
-    pub fn new(bytes: usize) -> Self {
-        Self { available_bytes: Rc::new(Cell::new(bytes)) }
+    /// Creates a reserve of `bytes`, which are drawn from `budget` as they are used.
+    pub fn new(bytes: usize, budget: Budget) -> Self {
+        Self { available_bytes: Rc::new(Cell::new(bytes)), budget }
+    }
+
+    /// The budget of the node's memory.
+    pub fn budget(&self) -> &Budget {
+        &self.budget
     }
 
     /// Bytes that no connection holds.
@@ -50,12 +58,15 @@
     /// Bytes taken from the reserve.
     reserved_bytes: usize,
     reserve: ReadAheadReserve,
+    /// Memory held beyond the part that belongs to the connection.
+    memory: Permit,
 }
 
 impl ReadAhead {
-    /// Creates an empty buffer that may grow into `reserve`.
-    pub fn new(reserve: ReadAheadReserve) -> Self {
-        Self { blocks: VecDeque::new(), len: 0, reserved_bytes: 0, reserve }
+    /// Creates an empty buffer that may grow into `reserve`, and counts its memory against `account`.
+    pub fn new(reserve: ReadAheadReserve, account: &Account) -> Self {
+        let memory = account.hold(Kind::ReadAhead, 0);
+        Self { blocks: VecDeque::new(), len: 0, reserved_bytes: 0, reserve, memory }
     }
 
     /// Bytes held.
@@ -124,8 +135,9 @@
         self.adjust_reserved();
     }
 
-    /// Holds as much of the reserve as the bytes beyond the allowance need.
+    /// Holds as much of the reserve as the bytes beyond the allowance need, and the memory for all.
     fn adjust_reserved(&mut self) {
+        self.memory.set(self.len.saturating_sub(BLOCK_BYTES));
         let needed = self.len.saturating_sub(CONNECTION_ALLOWANCE_BYTES);
         if needed > self.reserved_bytes {
             self.reserved_bytes += self.reserve.take(needed - self.reserved_bytes);
--- a/node/src/server/read_ahead/tests.rs
+++ b/node/src/server/read_ahead/tests.rs
@@ -1,10 +1,15 @@
 use super::*;
+use crate::memory::Budget;
 
 /// Bytes that differ within and between blocks.
 fn numbered(len: usize) -> Vec<u8> {
     (0..len).map(|index| (index % 251) as u8).collect()
 }
 
+fn buffer_with(reserve: &ReadAheadReserve) -> ReadAhead {
+    ReadAhead::new(reserve.clone(), &reserve.budget().account())
+}
+
 fn read(buffer: &mut ReadAhead, max_bytes: usize) -> Vec<u8> {
     let mut bytes = vec![0; max_bytes];
     let mut target = ReadBuf::new(&mut bytes);
@@ -16,7 +21,7 @@
 #[test]
 fn bytes_are_read_in_the_order_in_which_they_were_appended() {
     let input = numbered(100_000);
-    let mut buffer = ReadAhead::new(ReadAheadReserve::new(1_000_000));
+    let mut buffer = buffer_with(&ReadAheadReserve::new(1_000_000, Budget::unlimited()));
     let (mut appended, mut output) = (0, Vec::new());
     for step in 1.. {
         let size = (step * 37 % 9_000).min(input.len() - appended);
@@ -35,7 +40,7 @@
 /// Guards against a parser's unused bytes that end up behind what arrived after them.
 #[test]
 fn prepended_bytes_are_read_first_even_if_there_is_no_room_for_them() {
-    let mut buffer = ReadAhead::new(ReadAheadReserve::new(0));
+    let mut buffer = buffer_with(&ReadAheadReserve::new(0, Budget::unlimited()));
     buffer.append(&numbered(CONNECTION_ALLOWANCE_BYTES));
     buffer.prepend(Bytes::from_static(b"first"));
     assert_eq!((buffer.room(), buffer.room_in_allowance()), (0, 0));
@@ -46,8 +51,8 @@
 /// Guards against a reserve that shrinks for good, or that lends more than it has.
 #[test]
 fn what_exceeds_the_allowance_is_taken_from_the_shared_reserve_and_given_back() {
-    let reserve = ReadAheadReserve::new(10_000);
-    let (mut first, mut second) = (ReadAhead::new(reserve.clone()), ReadAhead::new(reserve.clone()));
+    let reserve = ReadAheadReserve::new(10_000, Budget::unlimited());
+    let (mut first, mut second) = (buffer_with(&reserve), buffer_with(&reserve));
     first.append(&numbered(CONNECTION_ALLOWANCE_BYTES));
     assert_eq!(reserve.available(), 10_000, "the allowance is not taken from the reserve");
     first.append(&numbered(7_000));
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -16,6 +16,8 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
+use crate::memory::Account;
+
 use super::read_ahead::{ReadAhead, ReadAheadReserve};
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -125,8 +127,8 @@
 
 impl<Stream> ClientStream<Stream> {
     /// Wraps the stream of a connection that was just accepted.
-    pub fn new(stream: Stream, reserve: ReadAheadReserve) -> Self {
-        let (read_ahead, last_response_at) = (ReadAhead::new(reserve), Instant::now());
+    pub fn new(stream: Stream, reserve: ReadAheadReserve, account: &Account) -> Self {
+        let (read_ahead, last_response_at) = (ReadAhead::new(reserve, account), Instant::now());
         Self(Rc::new(RefCell::new(Inner {
             stream,
             read_ahead,
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -6,6 +6,7 @@
 use super::*;
 use crate::driver;
 use crate::driver::tests::{SECOND, backend_entry};
+use crate::memory::Budget;
 use brookfield::{ListScope, Nanos, Stage};
 use tokio::time::Instant;
 
@@ -22,7 +23,7 @@
 }
 
 fn no_reserve() -> ReadAheadReserve {
-    ReadAheadReserve::new(0)
+    ReadAheadReserve::new(0, Budget::unlimited())
 }
 
 /// Writes the texts to a connection, one second apart, and returns what was read until the node closed it, with the time
--- a/node/src/server/tests/disconnects.rs
+++ b/node/src/server/tests/disconnects.rs
@@ -78,7 +78,7 @@
     const OTHER_BUFFER_BYTES: usize = 68 * 1024;
     let (node, transport) = driver::tests::node(SECOND);
     node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
-    let reserve = ReadAheadReserve::new(RESERVE_BYTES);
+    let reserve = ReadAheadReserve::new(RESERVE_BYTES, Budget::unlimited());
     let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
     let sent = Rc::new(Cell::new(0));
     let work = async {
@@ -146,7 +146,7 @@
     let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
     let limits = ServerLimits { read_ahead_reserve_bytes: 0, ..LIMITS };
     let work = async {
-        spawn_local(run(listener, node.clone(), limits, phases));
+        spawn_local(run(listener, node.clone(), limits, Budget::unlimited(), phases));
         let mut client = TcpStream::connect(address).await.expect("a connection");
         let request = with_budget(API_REQUEST, 3000);
         write_what_fits(&mut client, &request.repeat(bytes / request.len())).await;
@@ -204,7 +204,8 @@
     let endpoint = backend.local_addr().expect("its address");
     let connection_settings =
         brookfield_settings::ConnectionSettings { idle_timeout: 60 * SECOND, connect_timeout: SECOND };
-    let upstream = crate::upstream::Upstream::new(connection_settings, driver::Clock::start(), 8);
+    let upstream =
+        crate::upstream::Upstream::new(connection_settings, driver::Clock::start(), 8, &Budget::unlimited());
     let transport = Rc::new(driver::tests::HookedUpstream { upstream, before_attempt: Default::default() });
     let node = driver::tests::node_with_transport(SECOND, "pushed", transport.clone());
     node.update_backends(
@@ -216,7 +217,7 @@
     let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
     let received = Rc::new(std::cell::RefCell::new(String::new()));
     let work = async {
-        spawn_local(run(listener, node.clone(), LIMITS, phases));
+        spawn_local(run(listener, node.clone(), LIMITS, Budget::unlimited(), phases));
         let seen = received.clone();
         spawn_local(async move {
             let (mut stream, _) = backend.accept().await.expect("a connection");
@@ -281,7 +282,7 @@
     }
     let last = send_request("d");
     let work = async {
-        spawn_local(run(listener, node.clone(), LIMITS, phases));
+        spawn_local(run(listener, node.clone(), LIMITS, Budget::unlimited(), phases));
         // Connections are accepted in order of arrival.
         while transport.attempts.borrow().is_empty() {
             tokio::task::yield_now().await;
@@ -316,7 +317,7 @@
             .await
             .expect("write succeeds");
         let work = async {
-            spawn_local(run(listener, node.clone(), LIMITS, phases));
+            spawn_local(run(listener, node.clone(), LIMITS, Budget::unlimited(), phases));
             while transport.attempts.borrow().is_empty() {
                 sleep(Duration::from_millis(1)).await;
             }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::driver::{Attempt, Clock, Node, Transport, UpstreamResult};
+use crate::memory::{Account, Budget, Kind, Permit};
 use crate::os_error::is_local;
 
 /// Maximum size of a request's and of a response's body.
@@ -34,6 +35,8 @@
 const REUSE_DELAY: Duration = Duration::from_millis(10);
 /// A connect that was given up after at least the connect timeout divided by this counts as a failed connect.
 const CONNECT_FAILURE_DIVISOR: u64 = 4;
+/// Memory of a connection: its task, and the parser's buffers.
+const CONNECTION_BYTES: usize = 16 * 1024;
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -96,21 +99,25 @@
     max_open: usize,
     settings: ConnectionSettings,
     clock: Clock,
+    account: Account,
 }
 
-/// Counts a connection as open until it is dropped.
-struct OpenSlot(Rc<Cell<usize>>);
+/// Counts a connection as open, and its memory as held, until it is dropped.
+struct OpenSlot {
+    open: Rc<Cell<usize>>,
+    _memory: Permit,
+}
 
 impl OpenSlot {
-    fn new(open: &Rc<Cell<usize>>) -> Self {
+    fn new(open: &Rc<Cell<usize>>, memory: Permit) -> Self {
         open.set(open.get() + 1);
-        Self(open.clone())
+        Self { open: open.clone(), _memory: memory }
     }
 }
 
 impl Drop for OpenSlot {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        self.open.set(self.open.get().saturating_sub(1));
     }
 }
 
@@ -118,10 +125,10 @@
 pub struct Upstream(Rc<ConnectionPool>);
 
 impl Upstream {
-    /// Creates a transport with at most `max_open` open connections.
-    pub fn new(settings: ConnectionSettings, clock: Clock, max_open: usize) -> Self {
+    /// Creates a transport with at most `max_open` open connections, whose memory comes from `budget`.
+    pub fn new(settings: ConnectionSettings, clock: Clock, max_open: usize, budget: &Budget) -> Self {
         let (idle, open) = (RefCell::default(), Rc::default());
-        Self(Rc::new(ConnectionPool { idle, open, max_open, settings, clock }))
+        Self(Rc::new(ConnectionPool { idle, open, max_open, settings, clock, account: budget.account() }))
     }
 
     /// Closes connections that have been idle for too long; never returns.
@@ -341,7 +348,8 @@
         if self.open.get() >= self.max_open - self.max_open / 16 {
             self.close_oldest();
         }
-        (self.open.get() < self.max_open).then(|| OpenSlot::new(&self.open))
+        let memory = self.account.hold(Kind::BackendConnection, CONNECTION_BYTES);
+        (self.open.get() < self.max_open).then(|| OpenSlot::new(&self.open, memory))
     }
 
     async fn connect(&self, endpoint: SocketAddr, slot: OpenSlot) -> Result<Connection, ConnectError> {
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -9,6 +9,7 @@
     HookedUpstream, SECOND, backend_entry, client_request, node, node_with_transport,
 };
 use crate::driver::{BackendEntry, FinalResponse, PendingRequest};
+use crate::memory::Budget;
 
 /// Guards against ejecting healthy backends when the node itself is out of connection slots.
 #[tokio::test]
@@ -18,7 +19,7 @@
     let _pending = node.submit(client_request(60 * SECOND));
     let attempt = transport.attempts.borrow_mut().pop().expect("an attempt");
     let settings = ConnectionSettings { idle_timeout: SECOND, connect_timeout: SECOND };
-    let upstream = Upstream::new(settings, Clock::start(), 0);
+    let upstream = Upstream::new(settings, Clock::start(), 0, &Budget::unlimited());
     let result = upstream.pool().exchange(&node, &attempt, &Cell::default(), &Cell::default()).await;
     assert_eq!(result.outcome, Outcome::Moot);
 }
@@ -43,7 +44,7 @@
     let (node, mut attempt, _handles) = node_with_attempt(endpoint);
     attempt.deadline = node.clock().now() + SECOND / 4;
     let settings = ConnectionSettings { idle_timeout: SECOND, connect_timeout: SECOND };
-    let upstream = Upstream::new(settings, node.clock(), 8);
+    let upstream = Upstream::new(settings, node.clock(), 8, &Budget::unlimited());
     let result = upstream.pool().run_to_end(&node, attempt).await;
     assert_eq!(result.outcome, Outcome::ConnectFailed);
 }
@@ -93,7 +94,7 @@
     let (node, mut attempt, _handles) = node_with_attempt(endpoint);
     attempt.send_by = node.clock().now() + SECOND / 4;
     let settings = ConnectionSettings { idle_timeout: SECOND, connect_timeout: 20 * SECOND };
-    let upstream = Upstream::new(settings, node.clock(), 8);
+    let upstream = Upstream::new(settings, node.clock(), 8, &Budget::unlimited());
     let pool = upstream.pool();
     let work = async {
         let attempt = async {
@@ -155,7 +156,7 @@
 async fn second_response(event: impl FnOnce(std::net::TcpStream) + 'static) -> FinalResponse {
     let (endpoint, connections) = spawn_backend("right");
     let settings = ConnectionSettings { idle_timeout: 60 * SECOND, connect_timeout: SECOND };
-    let upstream = Upstream::new(settings, Clock::start(), 8);
+    let upstream = Upstream::new(settings, Clock::start(), 8, &Budget::unlimited());
     let transport = Rc::new(HookedUpstream { upstream, before_attempt: RefCell::default() });
     let node = node_with_transport(SECOND, "pushed", transport.clone());
     node.update_backends(
@@ -197,7 +198,7 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.expect("listen");
     let endpoint = listener.local_addr().expect("local address");
     let settings = ConnectionSettings { idle_timeout: 60 * SECOND, connect_timeout: SECOND };
-    let upstream = Upstream::new(settings, Clock::start(), 8);
+    let upstream = Upstream::new(settings, Clock::start(), 8, &Budget::unlimited());
     let transport = Rc::new(HookedUpstream { upstream, before_attempt: RefCell::default() });
     let node = node_with_transport(SECOND, "pushed", transport);
     node.update_backends(
