Receive each request body into one buffer, with a permit for its memory

Callers saw: nodes were killed at their memory limit while clients wrote large requests slowly or in small chunks.

Cause: each piece of a body was kept as the parser handed it out. A piece refers to the block of 8 KiB or more that it was read into, so a body written in pieces of 400 bytes held twenty times its size; one in chunks of one byte held 32 bytes of bookkeeping for each. Nothing bounded the bodies of all connections together, and the parser's own buffers grew with each full read.

Change: a body is copied into one buffer of its declared length, or one that doubles, whose memory is acquired before it is read. A request waits 250 ms for memory, then gets 503: nothing of it was forwarded. Meanwhile the client that holds most for longest is refused in its place. A declared length over the limit gets 413 at once. Reads into the parser are limited to less than its block, so that the block does not grow.

Why it works: what is held is the sum of the permits.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -5,6 +5,7 @@
 
 mod discovery;
 mod driver;
+mod limited_read;
 mod log;
 mod memory;
 mod os_error;
@@ -145,6 +146,7 @@
         (memory::limit_bytes(config.limits.memory_mb) as f64 * READ_AHEAD_MEMORY_SHARE) as usize;
     let budget = memory::budget_for(config.limits.memory_mb);
     spawn_local(memory::report(budget.clone()));
+    spawn_local(memory::reclaim(budget.clone()));
     let clock = Clock::start();
     let upstream = Upstream::new(parsed.connections, clock, backends, &budget);
     spawn_local(Upstream::sweep(upstream.pool()));
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -4,17 +4,17 @@
 
 use brookfield::{Idempotency, Nanos};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
+use super::body::{self, BodyError};
 use super::phase::ShutdownPhase;
 use crate::driver::{ClientRequest, FinalResponse, HttpRequest, Node, RequestMemory};
-use crate::memory::{Account, Kind};
-use crate::upstream::MAX_BODY_BYTES;
+use crate::memory::{Account, Stage};
 
 /// Part of a client's time budget that is set aside for the network between client and node: a response sent at the very
 /// end of the budget would arrive too late.
@@ -47,6 +47,18 @@
     BodyTooLarge,
     #[error("request body incomplete or not received in time")]
     BodyIncomplete,
+    #[error("out of memory for requests; safe to retry")]
+    OutOfMemory,
+}
+
+impl From<BodyError> for RequestError {
+    fn from(error: BodyError) -> Self {
+        match error {
+            BodyError::TooLarge => Self::BodyTooLarge,
+            BodyError::Incomplete => Self::BodyIncomplete,
+            BodyError::OutOfMemory => Self::OutOfMemory,
+        }
+    }
 }
 
 impl RequestError {
@@ -55,6 +67,8 @@
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            // Nothing was forwarded.
+            Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
         }
     }
@@ -145,12 +159,14 @@
     let cost_hint =
         optional_header(headers, X_CALL_COST)?.map(|text| parse_u64(X_CALL_COST, text)).transpose()?;
     let is_retry = optional_header(headers, X_AGAIN)? == Some("1");
-    let body = read_body(body, read_deadline).await?;
-    if idempotency == Idempotency::Idempotent && !body.is_empty() {
+    account.set_stage(Stage::Receiving);
+    let body = body::receive(body, account, read_deadline).await?;
+    if idempotency == Idempotency::Idempotent && !body.bytes.is_empty() {
         return Err(RequestError::NotAllowed("request body"));
     }
     // The read that completes a request does not show whether the client has closed its connection since.
     input_settled.await;
+    account.set_stage(Stage::Kept);
     let elapsed: Nanos = node.clock().now().saturating_sub(received_at);
     let budget = remaining_budget(budget, deadline, elapsed);
     let time_to_deadline =
@@ -165,11 +181,8 @@
             method: head.method,
             target: head.uri,
             headers: remove_hop_by_hop(head.headers),
-            memory: RequestMemory {
-                account: account.clone(),
-                permits: vec![account.hold(Kind::RequestBody, body.len())],
-            },
-            body,
+            body: body.bytes,
+            memory: RequestMemory { account: account.clone(), permits: body.memory.into_iter().collect() },
         },
     };
     Ok(to_response(node.submit(client_request).response().await))
@@ -183,14 +196,6 @@
         .saturating_sub(elapsed.saturating_add(ROUND_TRIP_ALLOWANCE_NS))
 }
 
-async fn read_body(body: Incoming, read_deadline: Instant) -> Result<Bytes, RequestError> {
-    match timeout_at(read_deadline, Limited::new(body, MAX_BODY_BYTES).collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RequestError::BodyTooLarge),
-        Ok(Err(_)) | Err(_) => Err(RequestError::BodyIncomplete),
-    }
-}
-
 /// The value of a header that may occur at most once.
 fn optional_header<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, RequestError> {
     let mut values = headers.get_all(name).iter();
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -1,9 +1,10 @@
 //! The HTTP server for clients.
 //!
 //! This module accepts connections. Its submodules: `connection` serves one connection until it is closed, `handler`
-//! handles one request, `stream` wraps a client's socket, `read_ahead` stores what was read from it ahead of the parser,
+//! handles one request, `body` receives its body, `stream` wraps a client's socket, `read_ahead` stores what was read from it ahead of the parser,
 //! `phase` holds the state of a graceful shutdown.
 
+mod body;
 mod connection;
 mod handler;
 mod phase;
--- a/node/src/server/read_ahead.rs
+++ b/node/src/server/read_ahead.rs
@@ -113,13 +113,15 @@
         self.adjust_reserved();
     }
 
-    /// Moves bytes to `buffer` until it is full or none are left.
-    pub fn read_into(&mut self, buffer: &mut ReadBuf<'_>) {
+    /// Moves up to `max_bytes` to `buffer`, which has room for them.
+    pub fn read_into(&mut self, buffer: &mut ReadBuf<'_>, max_bytes: usize) {
+        let mut remaining_bytes = max_bytes;
         while let Some(block) = self.blocks.front_mut() {
-            let count = block.len().min(buffer.remaining());
+            let count = block.len().min(remaining_bytes);
             buffer.put_slice(&block[..count]);
             block.advance(count);
             self.len -= count;
+            remaining_bytes -= count;
             if !block.is_empty() {
                 break;
             }
--- a/node/src/server/read_ahead/tests.rs
+++ b/node/src/server/read_ahead/tests.rs
@@ -13,7 +13,7 @@
 fn read(buffer: &mut ReadAhead, max_bytes: usize) -> Vec<u8> {
     let mut bytes = vec![0; max_bytes];
     let mut target = ReadBuf::new(&mut bytes);
-    buffer.read_into(&mut target);
+    buffer.read_into(&mut target, max_bytes);
     target.filled().to_vec()
 }
 
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -16,6 +16,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
+use crate::limited_read::{piece_size, poll_read_piece};
 use crate::memory::Account;
 
 use super::read_ahead::{ReadAhead, ReadAheadReserve};
@@ -254,15 +255,14 @@
     ) -> Poll<std::io::Result<()>> {
         let mut inner = self.0.borrow_mut();
         if inner.read_ahead.is_empty() && !inner.read_closed {
-            let before = buffer.filled().len();
-            ready!(Pin::new(&mut inner.stream).poll_read(context, buffer))?;
-            match buffer.filled().len() - before {
+            match ready!(poll_read_piece(&mut inner.stream, context, buffer))? {
                 0 => inner.read_closed = true,
                 count => inner.count_received(count),
             }
             return Poll::Ready(Ok(()));
         }
-        inner.read_ahead.read_into(buffer);
+        let size = piece_size(buffer);
+        inner.read_ahead.read_into(buffer, size);
         Poll::Ready(Ok(()))
     }
 }
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -22,6 +22,7 @@
 use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::driver::{Attempt, Clock, Node, Transport, UpstreamResult};
+use crate::limited_read::LimitedReads;
 use crate::memory::{Account, Budget, Kind, Permit};
 use crate::os_error::is_local;
 
@@ -357,7 +358,7 @@
         let stream = timeout(limit, TcpStream::connect(endpoint)).await.map_err(|_| ConnectError::Timeout)?;
         let stream = stream.map_err(ConnectError::from)?;
         set_nodelay(&stream);
-        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        let (sender, connection) = handshake(TokioIo::new(LimitedReads(stream))).await?;
         spawn_local(async move {
             let _slot = slot;
             if let Err(error) = connection.await {
