Draw connections, heads and fields of requests from the memory budget

Callers saw: nodes were killed at their memory limit while clients sent long heads or heads of many fields.

Cause: an unfinished head lies in a block of the parser that doubles up to 32 KiB, and the fields of each request that was being handled referred to that block and kept it, beside tables of some 50 KB for a request with 95 fields and its attempt. All of it was bounded for each connection, and not over all.

With the balance in the log, what was counted before this commit (16 KiB a connection) and resident memory differed by what the parser allocates ahead of its reads.

Change: a connection is accepted once there is memory for it; the parser reads a head on only with memory for the block it will need then, and waits otherwise; a request acquires memory for its fields before its body is read, and its forwarded parts are copied out of the parser's block. A client that holds most for longest while others wait is closed (half a head) or refused with 503; requests that may be running are never chosen. Slots count as scarce while there is no memory for a new connection. Discarding input at a close needs no memory any more.

Why it works: each of these holders has a permit from the first accept on, and the ceilings by kind leave room for small requests and for responses.

--- a/node/src/memory/budget.rs
+++ b/node/src/memory/budget.rs
@@ -329,6 +329,11 @@
 }
 
 impl Permit {
+    /// What the bytes are held for.
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+
     /// Bytes that may be held.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -2,6 +2,7 @@
 //! closed its connection, and takes part in a graceful shutdown. Requests are handled by `handler`.
 
 use std::cell::Cell;
+use std::convert::Infallible;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::Poll;
@@ -20,7 +21,7 @@
 use super::read_ahead::ReadAheadReserve;
 use super::stream::{CLOSE_CHECK_INTERVAL, ClientSocket, ClientStream};
 use crate::driver::Node;
-use crate::memory::Kind;
+use crate::memory::Account;
 
 /// Keep-alive timeout. Kept short because an idle connection holds one of a limited number of slots; clients expect that
 /// a connection may be closed after 2 s.
@@ -33,9 +34,7 @@
 /// Time for a request to be received in full: the first one of a connection counted from the accept, the head of a later
 /// one from its first byte and the body from the end of the head. A peer gets an error or a close within 3 s.
 const REQUEST_READ_TIMEOUT: Duration = Duration::from_millis(2600);
-/// Memory of a connection: its task, the parser's first block, and the first block that is read ahead.
-const CONNECTION_BYTES: usize = 16 * 1024;
-const MAX_HEAD_BYTES: usize = 32 * 1024;
+pub const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Lingering close: input that arrives after the node has closed its side is read and discarded for this long and up to
 /// `MAX_LINGER_BYTES`. Closing a socket with unread input resets the connection, and the client may lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
@@ -63,6 +62,8 @@
     TimedOut,
     /// The client did not read the response in time.
     WriteTimedOut,
+    /// Others wait for the memory that the connection holds.
+    MemoryReclaimed,
 }
 
 /// Serves a connection until it is closed.
@@ -77,7 +78,6 @@
     let progress =
         RequestProgress { accepted_at, request_seen: Cell::new(false), in_flight: Cell::new(false) };
     let account = reserve.budget().account();
-    let _memory = account.hold(Kind::ClientConnection, CONNECTION_BYTES);
     let stream = ClientStream::new(stream, reserve, &account);
     let opened_during_shutdown = *phase.borrow() != ShutdownPhase::Serving;
     let handler_phase = phase.clone();
@@ -94,6 +94,7 @@
     let mut closing = false;
     loop {
         let service = service_fn(async |request| {
+            stream.mark_head_received();
             let first = !progress.request_seen.replace(true);
             progress.in_flight.set(true);
             let read_deadline = if first { accepted_at } else { Instant::now() } + REQUEST_READ_TIMEOUT;
@@ -122,6 +123,8 @@
                 () = &mut closing_phase, if !closing => CloseReason::Shutdown,
                 reason = timed_out(&progress, &stream) => reason,
                 () = &mut shed_when_scarce => CloseReason::TimedOut,
+                () = evicted(&progress, &account) => CloseReason::MemoryReclaimed,
+                never = provide_head_memory(&stream, &account) => match never {},
             };
             let busy = progress.in_flight.get() || stream.has_unsent_response();
             if !matches!(reason, CloseReason::Shutdown) || !busy {
@@ -138,7 +141,10 @@
             CloseReason::ParserDone => break,
             // No response is left to deliver, so there is no lingering close. Dropping the parser drops a pending request,
             // which cancels it.
-            CloseReason::TimedOut | CloseReason::PeerClosed | CloseReason::WriteTimedOut => return,
+            CloseReason::TimedOut
+            | CloseReason::PeerClosed
+            | CloseReason::WriteTimedOut
+            | CloseReason::MemoryReclaimed => return,
             CloseReason::Shutdown => {}
         }
         // No request is being handled. Input that has arrived by now, even part of a head, belongs to a request that the
@@ -201,6 +207,26 @@
     .await
 }
 
+/// Resolves once the connection has to give up its memory while no request is being handled. A request that is being
+/// handled is rejected by its handler, if nothing of it was forwarded.
+async fn evicted(progress: &RequestProgress, account: &Account) {
+    let mut evicted = std::pin::pin!(account.evicted());
+    poll_fn(|context| if progress.in_flight.get() { Poll::Pending } else { evicted.as_mut().poll(context) })
+        .await
+}
+
+/// Waits for memory whenever the parser needs it to read on.
+async fn provide_head_memory<Stream>(stream: &ClientStream<Stream>, account: &Account) -> Infallible {
+    loop {
+        // Every poll of the task gets here after the parser.
+        let shortfall = poll_fn(|_| stream.head_shortfall().map_or(Poll::Pending, Poll::Ready)).await;
+        let permit = account.acquire(shortfall.kind, shortfall.bytes).await;
+        stream.grant_head_memory(permit);
+        // Polls the parser again.
+        yield_now().await;
+    }
+}
+
 /// Resolves once slots are scarce and the connection has not received its first request within the timeout, so that
 /// waiting clients get its slot.
 async fn shed_when_scarce(progress: &RequestProgress, slots_scarce: impl Fn() -> bool) {
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -7,14 +7,15 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::body::{self, BodyError};
 use super::phase::ShutdownPhase;
 use crate::driver::{ClientRequest, FinalResponse, HttpRequest, Node, RequestMemory};
-use crate::memory::{Account, Stage};
+use crate::memory::{Account, Kind, Stage};
 
 /// Part of a client's time budget that is set aside for the network between client and node: a response sent at the very
 /// end of the budget would arrive too late.
@@ -28,6 +29,13 @@
 const X_CALL_COST: &str = "x-call-cost";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
+/// Memory of a request besides its fields and its body.
+const BYTES_PER_REQUEST: usize = 8 * 1024;
+/// Memory of a field in the tables of a request and of its attempts, besides its text.
+const BYTES_PER_FIELD: usize = 640;
+/// How often the text of a request's head is held: as received, and as written to backends.
+const COPIES_OF_TEXT: usize = 3;
+
 type HttpResponse = Response<Full<Bytes>>;
 
 /// Why a request is invalid.
@@ -159,13 +167,17 @@
     let cost_hint =
         optional_header(headers, X_CALL_COST)?.map(|text| parse_u64(X_CALL_COST, text)).transpose()?;
     let is_retry = optional_header(headers, X_AGAIN)? == Some("1");
-    account.set_stage(Stage::Receiving);
+    let fields_memory = body::acquire(account, Kind::Request, request_bytes(&head)).await?;
+    let (method, target, headers) = into_own_memory(head);
     let body = body::receive(body, account, read_deadline).await?;
     if idempotency == Idempotency::Idempotent && !body.bytes.is_empty() {
         return Err(RequestError::NotAllowed("request body"));
     }
     // The read that completes a request does not show whether the client has closed its connection since.
     input_settled.await;
+    if account.is_evicted() {
+        return Err(RequestError::OutOfMemory);
+    }
     account.set_stage(Stage::Kept);
     let elapsed: Nanos = node.clock().now().saturating_sub(received_at);
     let budget = remaining_budget(budget, deadline, elapsed);
@@ -178,11 +190,14 @@
         is_retry,
         budget: time_to_deadline.map_or(budget, |limit| budget.min(limit)),
         http: HttpRequest {
-            method: head.method,
-            target: head.uri,
-            headers: remove_hop_by_hop(head.headers),
+            method,
+            target,
+            headers,
             body: body.bytes,
-            memory: RequestMemory { account: account.clone(), permits: body.memory.into_iter().collect() },
+            memory: RequestMemory {
+                account: account.clone(),
+                permits: body.memory.into_iter().chain([fields_memory]).collect(),
+            },
         },
     };
     Ok(to_response(node.submit(client_request).response().await))
@@ -227,6 +242,27 @@
     }
 }
 
+/// The memory that a request needs besides its body: its state here and in the balancer, its fields, and copies of them for
+/// an attempt and for what is written to a backend.
+fn request_bytes(head: &Parts) -> usize {
+    let text_bytes: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    let target_bytes = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
+    BYTES_PER_REQUEST + BYTES_PER_FIELD * head.headers.len() + COPIES_OF_TEXT * (text_bytes + target_bytes)
+}
+
+/// The parts that are forwarded, in memory of their own. As parsed, each refers to the parser's block and keeps it alive.
+fn into_own_memory(head: Parts) -> (Method, Uri, HeaderMap) {
+    let forwarded = remove_hop_by_hop(head.headers);
+    let mut headers = HeaderMap::with_capacity(forwarded.len());
+    for (name, value) in &forwarded {
+        // A value that was parsed once is valid.
+        let Ok(value) = HeaderValue::from_bytes(value.as_bytes()) else { continue };
+        headers.append(name.clone(), value);
+    }
+    let target = head.uri.to_string().parse().unwrap_or(head.uri);
+    (head.method, target, headers)
+}
+
 /// Removes the hop-by-hop headers and those of message framing, which is set anew for each attempt.
 fn remove_hop_by_hop(mut headers: HeaderMap) -> HeaderMap {
     let connection_options: Vec<HeaderName> = headers
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -1,12 +1,14 @@
 //! The HTTP server for clients.
 //!
 //! This module accepts connections. Its submodules: `connection` serves one connection until it is closed, `handler`
-//! handles one request, `body` receives its body, `stream` wraps a client's socket, `read_ahead` stores what was read from it ahead of the parser,
+//! handles one request, `body` receives its body, `head_memory`
+//! holds the memory for heads, `stream` wraps a client's socket, `read_ahead` stores what was read from it ahead of the parser,
 //! `phase` holds the state of a graceful shutdown.
 
 mod body;
 mod connection;
 mod handler;
+mod head_memory;
 mod phase;
 mod read_ahead;
 mod stream;
@@ -24,7 +26,7 @@
 use tokio::time::sleep;
 
 use crate::driver::Node;
-use crate::memory::Budget;
+use crate::memory::{Budget, Kind};
 use crate::os_error::is_per_connection;
 use crate::upstream::set_nodelay;
 pub use phase::ShutdownPhase;
@@ -36,6 +38,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Connection slots are scarce once at most one in this many is free.
 const SCARCE_SLOT_DIVISOR: usize = 8;
+/// Memory of a connection: its task, the parser's first blocks for reading and writing, and the first block that is read
+/// ahead.
+const CONNECTION_BYTES: usize = 22 * 1024;
 
 /// The number of open connections.
 #[derive(Default)]
@@ -79,19 +84,24 @@
 ) {
     let slots = Arc::new(Semaphore::new(limits.max_connections));
     let connections = Rc::new(OpenConnections::default());
+    let account = budget.account();
     let reserve = ReadAheadReserve::new(limits.read_ahead_reserve_bytes, budget);
     let scarce_threshold = limits.max_connections / SCARCE_SLOT_DIVISOR;
     let accept_loop = async {
         loop {
             let Ok(slot) = slots.clone().acquire_owned().await else { return };
+            let memory = account.acquire(Kind::ClientConnection, CONNECTION_BYTES).await;
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let slots = slots.clone();
-                    let slots_scarce = move || slots.available_permits() <= scarce_threshold;
+                    let (slots, budget) = (slots.clone(), reserve.budget().clone());
+                    let slots_scarce = move || {
+                        slots.available_permits() <= scarce_threshold
+                            || budget.available(Kind::ClientConnection) < CONNECTION_BYTES
+                    };
                     spawn_connection(
                         stream,
                         &node,
-                        (slot, ConnectionGuard::new(&connections)),
+                        (slot, memory, ConnectionGuard::new(&connections)),
                         &phase,
                         &reserve,
                         slots_scarce,
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -17,8 +17,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::limited_read::{piece_size, poll_read_piece};
-use crate::memory::Account;
+use crate::memory::{Account, Permit, Stage};
 
+use super::head_memory::{HeadMemory, Shortfall};
 use super::read_ahead::{ReadAhead, ReadAheadReserve};
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -58,8 +59,10 @@
 
 struct Inner<Stream> {
     stream: Stream,
+    account: Account,
     /// Bytes read from the socket that the parser has not read yet.
     read_ahead: ReadAhead,
+    head: HeadMemory,
     /// Bytes read from the socket so far.
     received_bytes: u64,
     /// The peer has closed its side, or the connection failed.
@@ -133,6 +136,8 @@
         Self(Rc::new(RefCell::new(Inner {
             stream,
             read_ahead,
+            head: HeadMemory::new(account),
+            account: account.clone(),
             received_bytes: 0,
             read_closed: false,
             request_started_at: None,
@@ -145,6 +150,23 @@
     pub fn mark_response_ready(&self) {
         let mut inner = self.0.borrow_mut();
         (inner.response_unsent, inner.last_response_at) = (true, Instant::now());
+        inner.head.next_head();
+        inner.account.set_stage(Stage::Responding);
+    }
+
+    /// Records that the parser has received the head of a request.
+    pub fn mark_head_received(&self) {
+        self.0.borrow_mut().head.head_received();
+    }
+
+    /// The memory without which the parser does not read on.
+    pub fn head_shortfall(&self) -> Option<Shortfall> {
+        self.0.borrow().head.shortfall()
+    }
+
+    /// Provides the memory that was missing. The parser has to be polled again.
+    pub fn grant_head_memory(&self, permit: Permit) {
+        self.0.borrow_mut().head.grant(permit);
     }
 
     /// Whether a response is ready that has not been sent in full.
@@ -216,18 +238,18 @@
         self.0.borrow_mut().read_ahead.clear();
         let mut remaining_bytes = max_bytes;
         poll_fn(|context| {
-            loop {
-                let mut inner = self.0.borrow_mut();
-                let read_any = inner.fill_read_ahead(context, ReadAheadLimit::Allowance);
-                remaining_bytes = remaining_bytes.saturating_sub(inner.read_ahead.len());
-                inner.read_ahead.clear();
-                if inner.read_closed || remaining_bytes == 0 {
-                    return Poll::Ready(());
-                }
-                if !read_any {
-                    return Poll::Pending;
+            let mut inner = self.0.borrow_mut();
+            let mut chunk = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
+            while !inner.read_closed && remaining_bytes > 0 {
+                let mut buffer = ReadBuf::uninit(&mut chunk);
+                match ready!(Pin::new(&mut inner.stream).poll_read(context, &mut buffer)) {
+                    Ok(()) if !buffer.filled().is_empty() => {
+                        remaining_bytes = remaining_bytes.saturating_sub(buffer.filled().len());
+                    }
+                    _ => inner.read_closed = true,
                 }
             }
+            Poll::Ready(())
         })
         .await;
     }
@@ -254,15 +276,24 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let mut inner = self.0.borrow_mut();
+        if !inner.head.admits_read() {
+            // Polled again once the connection has got the memory.
+            return Poll::Pending;
+        }
         if inner.read_ahead.is_empty() && !inner.read_closed {
             match ready!(poll_read_piece(&mut inner.stream, context, buffer))? {
                 0 => inner.read_closed = true,
-                count => inner.count_received(count),
+                count => {
+                    inner.count_received(count);
+                    inner.head.count(count);
+                }
             }
             return Poll::Ready(Ok(()));
         }
+        let before = buffer.filled().len();
         let size = piece_size(buffer);
         inner.read_ahead.read_into(buffer, size);
+        inner.head.count(buffer.filled().len() - before);
         Poll::Ready(Ok(()))
     }
 }
@@ -282,6 +313,7 @@
         // The parser flushes only after it has written everything.
         if std::mem::take(&mut inner.response_unsent) {
             inner.last_response_at = Instant::now();
+            inner.account.set_stage(Stage::Kept);
             inner.request_started_at = (!inner.read_ahead.is_empty()).then(Instant::now);
         }
         Poll::Ready(Ok(()))
