Draw the read-ahead and backend connections from the memory budget

Callers saw: nodes were killed at their memory limit while clients sent several large requests at once.

Cause: what a connection read ahead was bounded by 32 KiB for each connection and by a reserve beside that; hundreds of connections filled it, on top of their bodies.

Change: beyond its first block, which belongs to the connection, a connection reads ahead only what the budget has room for; read-ahead gives way before everything else. An attempt waits for the memory of a new connection within its time, and the oldest idle connection is closed for it.

--- a/node/src/server/read_ahead.rs
+++ b/node/src/server/read_ahead.rs
@@ -81,12 +81,19 @@
 
     /// Bytes that may still be appended within the allowance.
     pub fn room_in_allowance(&self) -> usize {
-        CONNECTION_ALLOWANCE_BYTES.saturating_sub(self.len)
+        CONNECTION_ALLOWANCE_BYTES.saturating_sub(self.len).min(self.room_in_memory())
     }
 
     /// Bytes that may still be appended within the allowance and the reserve.
     pub fn room(&self) -> usize {
-        (CONNECTION_ALLOWANCE_BYTES + self.reserved_bytes + self.reserve.available()).saturating_sub(self.len)
+        let room = CONNECTION_ALLOWANCE_BYTES + self.reserved_bytes + self.reserve.available();
+        room.saturating_sub(self.len).min(self.room_in_memory())
+    }
+
+    /// Bytes for which there is memory: the first block belongs to the connection.
+    fn room_in_memory(&self) -> usize {
+        let held = BLOCK_BYTES + self.memory.bytes();
+        held.saturating_add(self.reserve.budget.available(Kind::ReadAhead)).saturating_sub(self.len)
     }
 
     /// Appends bytes, at most as many as there is room for.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -36,8 +36,8 @@
 const REUSE_DELAY: Duration = Duration::from_millis(10);
 /// A connect that was given up after at least the connect timeout divided by this counts as a failed connect.
 const CONNECT_FAILURE_DIVISOR: u64 = 4;
-/// Memory of a connection: its task, and the parser's buffers.
-const CONNECTION_BYTES: usize = 16 * 1024;
+/// Memory of a connection: its task, and the parser's blocks for reading and writing.
+const CONNECTION_BYTES: usize = 20 * 1024;
 const IDLE_SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
 type Connection = SendRequest<Full<Bytes>>;
@@ -103,22 +103,19 @@
     account: Account,
 }
 
-/// Counts a connection as open, and its memory as held, until it is dropped.
-struct OpenSlot {
-    open: Rc<Cell<usize>>,
-    _memory: Permit,
-}
+/// Counts a connection as open until it is dropped.
+struct OpenSlot(Rc<Cell<usize>>);
 
 impl OpenSlot {
-    fn new(open: &Rc<Cell<usize>>, memory: Permit) -> Self {
+    fn new(open: &Rc<Cell<usize>>) -> Self {
         open.set(open.get() + 1);
-        Self { open: open.clone(), _memory: memory }
+        Self(open.clone())
     }
 }
 
 impl Drop for OpenSlot {
     fn drop(&mut self) {
-        self.open.set(self.open.get().saturating_sub(1));
+        self.0.set(self.0.get().saturating_sub(1));
     }
 }
 
@@ -224,8 +221,12 @@
                 None => match self.reserve_slot() {
                     None => return UpstreamResult::new(Outcome::Moot),
                     Some(slot) => {
+                        let memory = self.connection_memory().await;
+                        if !node.may_send(attempt.id) {
+                            return UpstreamResult::new(Outcome::Moot);
+                        }
                         connecting.set(Some(self.clock.now()));
-                        let connection = self.connect(attempt.endpoint, slot).await;
+                        let connection = self.connect(attempt.endpoint, (slot, memory)).await;
                         connecting.set(None);
                         match connection {
                             Ok(connection) => (connection, true),
@@ -349,18 +350,30 @@
         if self.open.get() >= self.max_open - self.max_open / 16 {
             self.close_oldest();
         }
-        let memory = self.account.hold(Kind::BackendConnection, CONNECTION_BYTES);
-        (self.open.get() < self.max_open).then(|| OpenSlot::new(&self.open, memory))
+        (self.open.get() < self.max_open).then(|| OpenSlot::new(&self.open))
     }
 
-    async fn connect(&self, endpoint: SocketAddr, slot: OpenSlot) -> Result<Connection, ConnectError> {
+    /// Waits for the memory of a new connection. If there is none, the oldest idle connection is closed.
+    async fn connection_memory(&self) -> Permit {
+        if let Some(memory) = self.account.try_acquire(Kind::BackendConnection, CONNECTION_BYTES) {
+            return memory;
+        }
+        self.close_oldest();
+        self.account.acquire(Kind::BackendConnection, CONNECTION_BYTES).await
+    }
+
+    async fn connect(
+        &self,
+        endpoint: SocketAddr,
+        resources: (OpenSlot, Permit),
+    ) -> Result<Connection, ConnectError> {
         let limit = Duration::from_nanos(self.settings.connect_timeout);
         let stream = timeout(limit, TcpStream::connect(endpoint)).await.map_err(|_| ConnectError::Timeout)?;
         let stream = stream.map_err(ConnectError::from)?;
         set_nodelay(&stream);
         let (sender, connection) = handshake(TokioIo::new(LimitedReads(stream))).await?;
         spawn_local(async move {
-            let _slot = slot;
+            let _resources = resources;
             if let Err(error) = connection.await {
                 tracing::debug!(%endpoint, cause = %error, "connection to a backend closed with an error");
             }
