Hold a response only with memory for it, and let what is further on its way go first

Callers saw: nodes were killed at their memory limit while clients read large responses slowly or never.

Cause: a response of up to 64 KiB was held for each client that did not read it, for up to 5 s, without a bound over all; while it came from its server its pieces kept the parser's blocks, which grew up to 417 KB with each full read.

Change: an attempt waits within its time for the memory of its response; the memory is given back when the client has read the last byte, or when a client that has left its response unread for 300 ms is closed because others wait. Waiters together decide how much is evicted.

--- a/node/src/driver/tests.rs
+++ b/node/src/driver/tests.rs
@@ -89,7 +89,7 @@
         target: Uri::from_static("/api"),
         headers: HeaderMap::new(),
         body: Bytes::new(),
-        memory: RequestMemory { account: Budget::unlimited().account(), permits: Vec::new() },
+        memory: RequestMemory::new(Budget::unlimited().account(), Vec::new()),
     };
     ClientRequest { class: 0, tenant: None, cost_hint: None, is_retry: false, budget, http }
 }
--- a/node/src/driver/types.rs
+++ b/node/src/driver/types.rs
@@ -27,7 +27,14 @@
     /// The account of its client's connection, which its response counts against too.
     pub account: Account,
     /// For its fields, copies of them in attempts, and its body.
-    pub permits: Vec<Permit>,
+    _permits: Vec<Permit>,
+}
+
+impl RequestMemory {
+    /// The memory of a request whose client's connection has this account.
+    pub fn new(account: Account, permits: Vec<Permit>) -> Self {
+        Self { account, _permits: permits }
+    }
 }
 
 /// The response that the client of a request gets.
--- a/node/src/memory/budget.rs
+++ b/node/src/memory/budget.rs
@@ -62,6 +62,7 @@
 impl State {
     fn fits(&self, kind: Kind, bytes: usize, capacity: usize) -> bool {
         self.total.saturating_add(bytes) <= kind.ceiling(capacity)
+            && self.held[kind.index()].saturating_add(bytes) <= kind.own_limit(capacity)
     }
 
     /// Whether somebody waits for a permit of this kind, or of one that gives way later.
@@ -166,7 +167,9 @@
         if state.is_queued(kind) {
             return 0;
         }
-        kind.ceiling(self.shared.capacity).saturating_sub(state.total)
+        let capacity = self.shared.capacity;
+        let room_of_kind = kind.own_limit(capacity).saturating_sub(state.held[kind.index()]);
+        kind.ceiling(capacity).saturating_sub(state.total).min(room_of_kind)
     }
 
     /// Waits until a request for a permit is queued.
@@ -174,17 +177,11 @@
         self.shared.shortage.notified().await;
     }
 
-    /// Bytes that have to be given back before the next waiter gets its permit; none without a waiter.
+    /// Bytes for which holders wait; none if nobody waits.
     pub(super) fn missing(&self) -> Option<usize> {
-        let mut state = self.state();
-        for kind in Kind::ALL.into_iter().rev() {
-            if !state.is_queued(kind) {
-                continue;
-            }
-            let bytes = state.queues[kind.index()].front().map_or(0, |waiter| waiter.bytes);
-            return Some((state.total + bytes).saturating_sub(kind.ceiling(self.shared.capacity)));
-        }
-        None
+        let state = self.state();
+        let waiting = state.queues.iter().flatten().filter(|waiter| !waiter.granted.is_closed());
+        waiting.map(|waiter| waiter.bytes).reduce(usize::saturating_add)
     }
 
     /// The holders that may be evicted. Those evicted already are left out.
@@ -246,11 +243,6 @@
 }
 
 impl Account {
-    /// The budget that it draws from.
-    pub fn budget(&self) -> &Budget {
-        &self.inner.budget
-    }
-
     /// Grants a permit if it fits and nobody waits for one.
     pub fn try_acquire(&self, kind: Kind, bytes: usize) -> Option<Permit> {
         let budget = &self.inner.budget;
@@ -329,11 +321,6 @@
 }
 
 impl Permit {
-    /// What the bytes are held for.
-    pub fn kind(&self) -> Kind {
-        self.kind
-    }
-
     /// Bytes that may be held.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/node/src/memory/eviction.rs
+++ b/node/src/memory/eviction.rs
@@ -7,7 +7,7 @@
 /// A request that has been arriving for less than this is left to arrive.
 const MIN_RECEIVING_TIME: Duration = Duration::from_millis(300);
 /// A response that has been waiting to be read for less than this is left to be read.
-const MIN_RESPONDING_TIME: Duration = Duration::from_secs(1);
+const MIN_RESPONDING_TIME: Duration = Duration::from_millis(300);
 
 /// A holder of bytes that may be evicted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/node/src/memory/kind.rs
+++ b/node/src/memory/kind.rs
@@ -1,26 +1,26 @@
 //! What bytes are held for, and up to which share of the budget each kind may fill it.
 
-/// What bytes are held for. In the order in which they give way: when memory is short, nothing is read ahead first, then no
-/// large head or body is admitted, then no connection, then no request; responses and the connections that bring them
-/// come last, as their requests may have run.
+/// What bytes are held for, in the order in which they give way. It follows a request on its way, so that what is further on
+/// its way always has room left by what is not, and ends: when memory is short, first nothing is read ahead, then no large
+/// head or body is admitted, then no connection, then no request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     /// Input read ahead of the parser.
     ReadAhead,
-    /// The part of a head beyond the parser's first block.
+    /// The part of a head beyond what each connection has room for.
     LargeHead,
     /// A request's body.
     RequestBody,
     /// A client's connection.
     ClientConnection,
-    /// The first block of a head.
-    HeadStart,
     /// A request that is being handled, with its fields.
     Request,
-    /// A backend's response body, until its client has read it.
-    Response,
     /// A connection to a backend.
     BackendConnection,
+    /// A backend's large response body, until its client has read it.
+    LargeResponse,
+    /// A backend's small response body, until its client has read it.
+    SmallResponse,
     /// The list of backends.
     BackendList,
 }
@@ -35,28 +35,37 @@
         Self::LargeHead,
         Self::RequestBody,
         Self::ClientConnection,
-        Self::HeadStart,
         Self::Request,
-        Self::Response,
         Self::BackendConnection,
+        Self::LargeResponse,
+        Self::SmallResponse,
         Self::BackendList,
     ];
 
     /// How full the budget may be after bytes of this kind were granted.
     pub fn ceiling(self, capacity: usize) -> usize {
         let parts = match self {
-            Self::ReadAhead => 9,
-            Self::LargeHead => 11,
-            Self::RequestBody | Self::ClientConnection => 12,
-            Self::HeadStart => 13,
-            Self::Request => 14,
-            Self::Response => 15,
-            Self::BackendConnection | Self::BackendList => PARTS,
+            Self::ReadAhead => 8,
+            Self::LargeHead => 9,
+            Self::RequestBody => 10,
+            Self::ClientConnection => 11,
+            Self::Request => 12,
+            Self::BackendConnection => 13,
+            Self::LargeResponse => 15,
+            Self::SmallResponse | Self::BackendList => PARTS,
         };
         // Divides first, so that an unlimited capacity does not overflow.
         capacity / PARTS * parts
     }
 
+    /// How much may be held of this kind alone. Connections that wait for a request leave room for those that have one.
+    pub fn own_limit(self, capacity: usize) -> usize {
+        match self {
+            Self::ClientConnection => capacity / PARTS * 10,
+            _ => capacity,
+        }
+    }
+
     /// Name in the log.
     pub fn name(self) -> &'static str {
         match self {
@@ -64,9 +73,9 @@
             Self::LargeHead => "large_heads",
             Self::RequestBody => "request_bodies",
             Self::ClientConnection => "client_connections",
-            Self::HeadStart => "heads",
             Self::Request => "requests",
-            Self::Response => "responses",
+            Self::LargeResponse => "large_responses",
+            Self::SmallResponse => "small_responses",
             Self::BackendConnection => "backend_connections",
             Self::BackendList => "backend_list",
         }
--- a/node/src/memory/reclaim.rs
+++ b/node/src/memory/reclaim.rs
@@ -8,7 +8,7 @@
 use super::eviction;
 
 /// How long evicted holders have to give up their bytes before others are chosen.
-const RECLAIM_INTERVAL: Duration = Duration::from_millis(20);
+const RECLAIM_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Evicts holders for as long as somebody waits for a permit; never returns.
 pub async fn reclaim(budget: Budget) {
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -21,7 +21,7 @@
 use super::read_ahead::ReadAheadReserve;
 use super::stream::{CLOSE_CHECK_INTERVAL, ClientSocket, ClientStream};
 use crate::driver::Node;
-use crate::memory::Account;
+use crate::memory::{Account, Kind};
 
 /// Keep-alive timeout. Kept short because an idle connection holds one of a limited number of slots; clients expect that
 /// a connection may be closed after 2 s.
@@ -93,8 +93,7 @@
     let mut shed_when_scarce = std::pin::pin!(shed_when_scarce(&progress, &slots_scarce));
     let mut closing = false;
     loop {
-        let service = service_fn(async |request| {
-            stream.mark_head_received();
+        let respond = async |request| {
             let first = !progress.request_seen.replace(true);
             progress.in_flight.set(true);
             let read_deadline = if first { accepted_at } else { Instant::now() } + REQUEST_READ_TIMEOUT;
@@ -103,6 +102,11 @@
             progress.in_flight.set(false);
             stream.mark_response_ready();
             response
+        };
+        // Before the parser reads on, which it does before the response is polled.
+        let service = service_fn(|request| {
+            stream.mark_head_received();
+            respond(request)
         });
         let mut connection = http1::Builder::new()
             .header_read_timeout(None)
@@ -219,8 +223,9 @@
 async fn provide_head_memory<Stream>(stream: &ClientStream<Stream>, account: &Account) -> Infallible {
     loop {
         // Every poll of the task gets here after the parser.
-        let shortfall = poll_fn(|_| stream.head_shortfall().map_or(Poll::Pending, Poll::Ready)).await;
-        let permit = account.acquire(shortfall.kind, shortfall.bytes).await;
+        let missing_bytes =
+            poll_fn(|_| stream.missing_head_memory().map_or(Poll::Pending, Poll::Ready)).await;
+        let permit = account.acquire(Kind::LargeHead, missing_bytes).await;
         stream.grant_head_memory(permit);
         // Polls the parser again.
         yield_now().await;
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -30,9 +30,9 @@
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
 /// Memory of a request besides its fields and its body.
-const BYTES_PER_REQUEST: usize = 8 * 1024;
+const BYTES_PER_REQUEST: usize = 4 * 1024;
 /// Memory of a field in the tables of a request and of its attempts, besides its text.
-const BYTES_PER_FIELD: usize = 640;
+const BYTES_PER_FIELD: usize = 768;
 /// How often the text of a request's head is held: as received, and as written to backends.
 const COPIES_OF_TEXT: usize = 3;
 
@@ -194,10 +194,10 @@
             target,
             headers,
             body: body.bytes,
-            memory: RequestMemory {
-                account: account.clone(),
-                permits: body.memory.into_iter().chain([fields_memory]).collect(),
-            },
+            memory: RequestMemory::new(
+                account.clone(),
+                body.memory.into_iter().chain([fields_memory]).collect(),
+            ),
         },
     };
     Ok(to_response(node.submit(client_request).response().await))
--- a/node/src/server/head_memory.rs
+++ b/node/src/server/head_memory.rs
@@ -6,14 +6,8 @@
 
 use super::connection::MAX_HEAD_BYTES;
 
-/// Memory that is missing before the parser may read on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Shortfall {
-    /// What it is for.
-    pub kind: Kind,
-    /// How much is missing.
-    pub bytes: usize,
-}
+/// The parser has doubled its block by the time it asks for the rest of a head, whether or not there is memory.
+const FIRST_GROWTH_BYTES: usize = PARSER_BLOCK_BYTES;
 
 /// The memory for the heads of one connection.
 pub struct HeadMemory {
@@ -22,60 +16,48 @@
     receiving: bool,
     /// Bytes of the head that were handed to the parser.
     received_bytes: usize,
-    /// For a head that is being received.
-    start: Option<Permit>,
     /// For the growth of the parser's block, until the connection is closed.
     growth: Option<Permit>,
-    shortfall: Option<Shortfall>,
+    missing_bytes: Option<usize>,
 }
 
 impl HeadMemory {
     /// The memory of a connection that has not received anything.
     pub fn new(account: &Account) -> Self {
         let account = account.clone();
-        Self { account, receiving: true, received_bytes: 0, start: None, growth: None, shortfall: None }
+        Self { account, receiving: true, received_bytes: 0, growth: None, missing_bytes: None }
     }
 
-    /// Whether the parser may read on. If not, [`Self::shortfall`] says what is missing.
+    /// Whether the parser may read on. If not, [`Self::missing_bytes`] says how much is missing.
     pub fn admits_read(&mut self) -> bool {
         if !self.receiving {
             return true;
         }
-        self.shortfall = self.acquire().err();
-        self.shortfall.is_none()
+        self.missing_bytes = self.acquire().err();
+        self.missing_bytes.is_none()
     }
 
-    fn acquire(&mut self) -> Result<(), Shortfall> {
-        if self.start.is_none() {
-            let shortfall = Shortfall { kind: Kind::HeadStart, bytes: PARSER_BLOCK_BYTES };
-            self.start = Some(self.try_acquire(shortfall)?);
+    /// The error is the number of bytes that are missing.
+    fn acquire(&mut self) -> Result<(), usize> {
+        if self.received_bytes == 0 {
+            return Ok(());
         }
-        let held = self.growth.as_ref().map_or(0, Permit::bytes);
-        let needed = growth_bytes(self.received_bytes);
-        if needed > held {
-            let shortfall = Shortfall { kind: Kind::LargeHead, bytes: needed - held };
-            let permit = self.try_acquire(shortfall)?;
-            self.grant(permit);
+        let grown = self.growth.get_or_insert_with(|| self.account.hold(Kind::LargeHead, FIRST_GROWTH_BYTES));
+        let missing = growth_bytes(self.received_bytes).saturating_sub(grown.bytes());
+        if missing > 0 {
+            grown.merge(self.account.try_acquire(Kind::LargeHead, missing).ok_or(missing)?);
         }
         Ok(())
     }
 
-    fn try_acquire(&self, shortfall: Shortfall) -> Result<Permit, Shortfall> {
-        self.account.try_acquire(shortfall.kind, shortfall.bytes).ok_or(shortfall)
-    }
-
-    /// What is missing before the parser may read on.
-    pub fn shortfall(&self) -> Option<Shortfall> {
-        self.shortfall
+    /// Bytes of [`Kind::LargeHead`] that are missing before the parser may read on.
+    pub fn missing_bytes(&self) -> Option<usize> {
+        self.missing_bytes
     }
 
     /// Provides the memory that was missing.
     pub fn grant(&mut self, permit: Permit) {
-        self.shortfall = None;
-        if permit.kind() == Kind::HeadStart {
-            self.start = Some(permit);
-            return;
-        }
+        self.missing_bytes = None;
         match &mut self.growth {
             Some(growth) => growth.merge(permit),
             None => self.growth = Some(permit),
@@ -92,7 +74,7 @@
 
     /// The parser has received a whole head.
     pub fn head_received(&mut self) {
-        (self.receiving, self.start) = (false, None);
+        self.receiving = false;
     }
 
     /// The parser goes on with the next head.
@@ -101,14 +83,11 @@
     }
 }
 
-/// How much the parser's block may grow beyond twice its first size once it has read more of a head of which it has this
-/// much: it makes room for the next read before it asks for it.
+/// How much the parser's block grows beyond its first size by reading more of a head of which it has this much. It makes room
+/// for the next read before it asks for it.
 fn growth_bytes(received_bytes: usize) -> usize {
-    if received_bytes == 0 {
-        return 0;
-    }
     let block_bytes = (received_bytes + 2 * PARSER_BLOCK_BYTES).min(MAX_HEAD_BYTES).next_power_of_two();
-    block_bytes.saturating_sub(2 * PARSER_BLOCK_BYTES)
+    block_bytes.saturating_sub(PARSER_BLOCK_BYTES)
 }
 
 #[cfg(test)]
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -38,9 +38,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Connection slots are scarce once at most one in this many is free.
 const SCARCE_SLOT_DIVISOR: usize = 8;
-/// Memory of a connection: its task, the parser's first blocks for reading and writing, and the first block that is read
-/// ahead.
-const CONNECTION_BYTES: usize = 22 * 1024;
+/// Memory of a connection: its task, and the parser's first blocks for reading and writing.
+const CONNECTION_BYTES: usize = 20 * 1024;
 
 /// The number of open connections.
 #[derive(Default)]
--- a/node/src/server/read_ahead.rs
+++ b/node/src/server/read_ahead.rs
@@ -58,7 +58,6 @@
     /// Bytes taken from the reserve.
     reserved_bytes: usize,
     reserve: ReadAheadReserve,
-    /// Memory held beyond the part that belongs to the connection.
     memory: Permit,
 }
 
@@ -90,10 +89,10 @@
         room.saturating_sub(self.len).min(self.room_in_memory())
     }
 
-    /// Bytes for which there is memory: the first block belongs to the connection.
+    /// Bytes for which there is memory. Each connection may have one block, however short memory is.
     fn room_in_memory(&self) -> usize {
-        let held = BLOCK_BYTES + self.memory.bytes();
-        held.saturating_add(self.reserve.budget.available(Kind::ReadAhead)).saturating_sub(self.len)
+        let available = self.reserve.budget.available(Kind::ReadAhead);
+        self.len.saturating_add(available).max(BLOCK_BYTES).saturating_sub(self.len)
     }
 
     /// Appends bytes, at most as many as there is room for.
@@ -146,7 +145,7 @@
 
     /// Holds as much of the reserve as the bytes beyond the allowance need, and the memory for all.
     fn adjust_reserved(&mut self) {
-        self.memory.set(self.len.saturating_sub(BLOCK_BYTES));
+        self.memory.set(self.len);
         let needed = self.len.saturating_sub(CONNECTION_ALLOWANCE_BYTES);
         if needed > self.reserved_bytes {
             self.reserved_bytes += self.reserve.take(needed - self.reserved_bytes);
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -19,7 +19,7 @@
 use crate::limited_read::{piece_size, poll_read_piece};
 use crate::memory::{Account, Permit, Stage};
 
-use super::head_memory::{HeadMemory, Shortfall};
+use super::head_memory::HeadMemory;
 use super::read_ahead::{ReadAhead, ReadAheadReserve};
 
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -159,9 +159,9 @@
         self.0.borrow_mut().head.head_received();
     }
 
-    /// The memory without which the parser does not read on.
-    pub fn head_shortfall(&self) -> Option<Shortfall> {
-        self.0.borrow().head.shortfall()
+    /// Bytes of memory that the parser lacks to read on.
+    pub fn missing_head_memory(&self) -> Option<usize> {
+        self.0.borrow().head.missing_bytes()
     }
 
     /// Provides the memory that was missing. The parser has to be polled again.
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,6 +1,8 @@
 //! The upstream side: a bounded pool of connections to the backends, and single attempts over them. Each
 //! attempt ends with an [`Outcome`]; retries are the balancer's decision, and no request is sent twice here.
 
+mod response_body;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -10,7 +12,7 @@
 use brookfield::{BackendId, LoadReport, Nanos, Outcome};
 use brookfield_settings::ConnectionSettings;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::{HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -257,7 +259,10 @@
             let Some(request) = self.request_for(attempt) else { return UpstreamResult::new(Outcome::Moot) };
             written.set(true);
             match connection.try_send_request(request).await {
-                Ok(response) => return self.read_response(node, key, connection, response).await,
+                Ok(response) => {
+                    let account = &attempt.http.memory.account;
+                    return self.read_response(node, key, connection, response, account).await;
+                }
                 // The request is returned only if no byte of it was written.
                 Err(mut error) => match error.take_message() {
                     Some(_) => written.set(false),
@@ -292,6 +297,7 @@
         key: PoolKey,
         connection: Connection,
         response: Response<Incoming>,
+        account: &Account,
     ) -> UpstreamResult {
         let (head, body) = response.into_parts();
         let report = load_report(&head.headers);
@@ -299,8 +305,7 @@
         // Without a length or chunked encoding the body ends with the connection, and a truncated one looks
         // complete.
         let framed = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-        let complete = Limited::new(body, MAX_BODY_BYTES).collect().await.ok().filter(|_| framed);
-        let body = complete.map(|complete| complete.to_bytes());
+        let body = response_body::receive(body, account, || {}).await.filter(|_| framed);
         if body.is_some() {
             self.checkin(node, key, connection);
         }
