Make no further attempt for a client whose close could go unnoticed

Callers saw: a client closed its connection with much still unread, and its request was sent on afterwards.

Cause: a client that has sent more than the node reads ahead and the sockets hold cannot get its close through. Once its first attempt had failed without having run, the request was tried again, 155 to 314 ms after the close; 0.1 s is allowed.

Clients that send one request at a time have no input behind it and are not affected.

--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -30,8 +30,8 @@
 use requests::RequestTable;
 use timers::{Timer, TimerQueue};
 pub use types::{
-    Attempt, AttemptId, BackendEntry, ClientRequest, FinalResponse, HttpRequest, ListState, RequestMemory,
-    UpstreamResult,
+    Attempt, AttemptId, BackendEntry, ClientRequest, FinalResponse, HiddenClose, HttpRequest, ListState,
+    RequestMemory, UpstreamResult,
 };
 
 /// How long after its deadline the driver fails a request that the balancer has left open. Longer than the
@@ -77,7 +77,7 @@
 struct DeferredWork {
     attempts: Vec<Attempt>,
     close_idle: Vec<BackendId>,
-    /// Attempts at backends that have been removed from the list.
+    /// Attempts at backends that have been removed from the list, or for clients that could have gone unnoticed.
     unsendable: Vec<AttemptId>,
     request_discovery: bool,
     rearm_timer: bool,
@@ -168,7 +168,8 @@
         let driver = self.driver.borrow();
         let (now, grace) = (driver.clock.now(), driver.settings.rules.drain_grace);
         // Half the grace period, as the drain began before this node learned of it and sending takes time.
-        driver.requests.is_open_at(id.request, now) && driver.backends.may_send_to(id.backend, now, grace / 2)
+        driver.requests.may_attempt(id.request, id.attempt, now)
+            && driver.backends.may_send_to(id.backend, now, grace / 2)
     }
 
     /// Whether at least one backend is in service.
@@ -426,7 +427,8 @@
         deferred: &mut DeferredWork,
     ) -> RequestId {
         let deadline = self.clock.now().saturating_add(client_request.budget);
-        let request = self.requests.insert(client_request.http, sender, deadline);
+        let request =
+            self.requests.insert(client_request.http, sender, deadline, client_request.hidden_close);
         self.set_timer(deadline.saturating_add(WATCHDOG_DELAY_NS), Timer::Watchdog(request), deferred);
         let (class, budget_ms) = (client_request.class, client_request.budget / 1_000_000);
         tracing::debug!(request = self.requests.call_id(request), class, budget_ms, "request received");
@@ -453,7 +455,8 @@
         let now = self.clock.now();
         let Some(started) = self.requests.start_attempt(request, now) else { return };
         let id = AttemptId { request, attempt: started.attempt, backend };
-        let Some(endpoint) = self.backends.endpoint(backend) else {
+        let may_attempt = self.requests.may_attempt(request, started.attempt, now);
+        let Some(endpoint) = self.backends.endpoint(backend).filter(|_| may_attempt) else {
             deferred.unsendable.push(id);
             return;
         };
--- a/node/src/driver/requests.rs
+++ b/node/src/driver/requests.rs
@@ -6,7 +6,7 @@
 use brookfield::{Nanos, RequestId};
 use tokio::sync::oneshot;
 
-use super::types::{FinalResponse, HttpRequest};
+use super::types::{FinalResponse, HiddenClose, HttpRequest};
 
 struct InFlightAttempt {
     started_at: Nanos,
@@ -20,6 +20,7 @@
     /// Attempts by number; none for those that have ended.
     attempts: Vec<Option<InFlightAttempt>>,
     ended: bool,
+    hidden_close: HiddenClose,
 }
 
 /// An attempt that has been added to its request.
@@ -47,12 +48,14 @@
         http: HttpRequest,
         response: oneshot::Sender<FinalResponse>,
         deadline: Nanos,
+        hidden_close: HiddenClose,
     ) -> RequestId {
         let request = RequestId(self.next_id);
         self.next_id += 1;
         let (http, response) = (Rc::new(http), Some(response));
-        self.entries
-            .insert(request, RequestEntry { response, http, deadline, attempts: Vec::new(), ended: false });
+        let attempts = Vec::new();
+        let entry = RequestEntry { response, http, deadline, attempts, ended: false, hidden_close };
+        self.entries.insert(request, entry);
         request
     }
 
@@ -97,9 +100,13 @@
         self.entries.get(&request).is_some_and(|entry| !entry.ended)
     }
 
-    /// Whether the request still awaits its final response and its deadline has not passed.
-    pub fn is_open_at(&self, request: RequestId, now: Nanos) -> bool {
-        self.entries.get(&request).is_some_and(|entry| !entry.ended && now < entry.deadline)
+    /// Whether an attempt of the request may be made: it still awaits its final response and its deadline has not passed.
+    /// Further attempts are only made while it is certain that the client has not gone.
+    pub fn may_attempt(&self, request: RequestId, attempt: u32, now: Nanos) -> bool {
+        self.entries.get(&request).is_some_and(|entry| {
+            let client_may_have_gone = attempt > 0 && entry.hidden_close.is_possible();
+            !entry.ended && now < entry.deadline && !client_may_have_gone
+        })
     }
 
     /// Removes the request if it has ended and has no attempt in flight.
--- a/node/src/driver/tests.rs
+++ b/node/src/driver/tests.rs
@@ -91,7 +91,15 @@
         body: Bytes::new(),
         memory: RequestMemory::new(Budget::unlimited().account(), Vec::new()),
     };
-    ClientRequest { class: 0, tenant: None, cost_hint: None, is_retry: false, budget, http }
+    ClientRequest {
+        class: 0,
+        tenant: None,
+        cost_hint: None,
+        is_retry: false,
+        budget,
+        hidden_close: HiddenClose::default(),
+        http,
+    }
 }
 
 /// A connected pair of Unix sockets, the second wrapped as a TCP stream, on which setting `TCP_NODELAY`
--- a/node/src/driver/types.rs
+++ b/node/src/driver/types.rs
@@ -1,5 +1,6 @@
 //! Data types that the driver exchanges with the server, the transport and the discovery clients.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -118,6 +119,23 @@
     pub boot_ms: u64,
 }
 
+/// Whether the close of a client's connection could go unnoticed, as it would wait behind input that is not read. Shared by
+/// the connection, which finds out, and the request that it carries.
+#[derive(Clone, Default)]
+pub struct HiddenClose(Rc<Cell<bool>>);
+
+impl HiddenClose {
+    /// Whether a close could go unnoticed now.
+    pub fn is_possible(&self) -> bool {
+        self.0.get()
+    }
+
+    /// Records whether a close could go unnoticed.
+    pub fn set_possible(&self, possible: bool) {
+        self.0.set(possible);
+    }
+}
+
 /// A request received from a client.
 pub struct ClientRequest {
     /// Index of the request class.
@@ -130,6 +148,8 @@
     pub is_retry: bool,
     /// How long the client waits for the response.
     pub budget: Nanos,
+    /// Whether its client could have gone unnoticed.
+    pub hidden_close: HiddenClose,
     /// What is forwarded to the backend.
     pub http: HttpRequest,
 }
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -16,7 +16,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::handler::handle;
+use super::handler::{ConnectionContext, handle};
 use super::phase::ShutdownPhase;
 use super::read_ahead::ReadAheadReserve;
 use super::stream::{CLOSE_CHECK_INTERVAL, ClientSocket, ClientStream};
@@ -97,8 +97,9 @@
             let first = !progress.request_seen.replace(true);
             progress.in_flight.set(true);
             let read_deadline = if first { accepted_at } else { Instant::now() } + REQUEST_READ_TIMEOUT;
-            let response =
-                handle(&node, request, &account, read_deadline, &handler_phase, stream.input_settled()).await;
+            let context =
+                ConnectionContext { account: &account, hidden_close: stream.hidden_close(), read_deadline };
+            let response = handle(&node, request, context, &handler_phase, stream.input_settled()).await;
             progress.in_flight.set(false);
             stream.mark_response_ready();
             response
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -14,7 +14,7 @@
 
 use super::body::{self, BodyError};
 use super::phase::ShutdownPhase;
-use crate::driver::{ClientRequest, FinalResponse, HttpRequest, Node, RequestMemory};
+use crate::driver::{ClientRequest, FinalResponse, HiddenClose, HttpRequest, Node, RequestMemory};
 use crate::memory::{Account, Kind, Stage};
 
 /// Part of a client's time budget that is set aside for the network between client and node: a response sent at the very
@@ -82,13 +82,22 @@
     }
 }
 
+/// What a request's connection provides.
+pub struct ConnectionContext<'a> {
+    /// Whose memory the request counts against.
+    pub account: &'a Account,
+    /// Whether the client's close could go unnoticed.
+    pub hidden_close: HiddenClose,
+    /// When the request has to have been received in full.
+    pub read_deadline: Instant,
+}
+
 /// Routes a request by its path. `input_settled` resolves once a close that the client has made by now would have been
 /// noticed.
 pub async fn handle(
     node: &Node,
     request: Request<Incoming>,
-    account: &Account,
-    read_deadline: Instant,
+    connection: ConnectionContext<'_>,
     phase: &watch::Receiver<ShutdownPhase>,
     input_settled: impl Future<Output = ()>,
 ) -> Result<HttpResponse, Infallible> {
@@ -101,18 +110,16 @@
     // the slots.
     let mut keep_alive = false;
     let mut response = match request.uri().path() {
-        "/api" => {
-            match forward(node, request, account, read_deadline, response_deadline, input_settled).await {
-                Ok(response) => {
-                    keep_alive = true;
-                    response
-                }
-                Err(error) => {
-                    tracing::debug!(cause = %error, "invalid request rejected");
-                    plain_response(error.status(), &error.to_string())
-                }
+        "/api" => match forward(node, request, connection, response_deadline, input_settled).await {
+            Ok(response) => {
+                keep_alive = true;
+                response
             }
-        }
+            Err(error) => {
+                tracing::debug!(cause = %error, "invalid request rejected");
+                plain_response(error.status(), &error.to_string())
+            }
+        },
         "/health/ready" if request.method() != Method::GET => {
             plain_response(StatusCode::METHOD_NOT_ALLOWED, "GET only")
         }
@@ -146,8 +153,7 @@
 async fn forward(
     node: &Node,
     request: Request<Incoming>,
-    account: &Account,
-    read_deadline: Instant,
+    ConnectionContext { account, hidden_close, read_deadline }: ConnectionContext<'_>,
     response_deadline: Option<Instant>,
     input_settled: impl Future<Output = ()>,
 ) -> Result<HttpResponse, RequestError> {
@@ -188,6 +194,7 @@
         tenant,
         cost_hint: cost_hint.map(|micros| micros.saturating_mul(1000)),
         is_retry,
+        hidden_close,
         budget: time_to_deadline.map_or(budget, |limit| budget.min(limit)),
         http: HttpRequest {
             method,
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -16,6 +16,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep};
 
+use crate::driver::HiddenClose;
 use crate::limited_read::{piece_size, poll_read_piece};
 use crate::memory::{Account, Permit, Stage};
 
@@ -35,6 +36,9 @@
     /// Whether the system has reported that the peer closed its side or reset the connection, even if input before that
     /// is still unread.
     fn close_reported(&self) -> bool;
+
+    /// Whether the socket has input that was not read.
+    fn has_unread_input(&self, context: &mut Context<'_>) -> bool;
 }
 
 impl ClientSocket for TcpStream {
@@ -46,6 +50,11 @@
             Poll::Ready(Err(_)) | Poll::Pending => false,
         }
     }
+
+    fn has_unread_input(&self, context: &mut Context<'_>) -> bool {
+        let mut byte = [0; 1];
+        matches!(self.poll_peek(context, &mut ReadBuf::new(&mut byte)), Poll::Ready(Ok(1..)))
+    }
 }
 
 /// How far to read ahead of the parser.
@@ -63,6 +72,7 @@
     /// Bytes read from the socket that the parser has not read yet.
     read_ahead: ReadAhead,
     head: HeadMemory,
+    hidden_close: HiddenClose,
     /// Bytes read from the socket so far.
     received_bytes: u64,
     /// The peer has closed its side, or the connection failed.
@@ -137,6 +147,7 @@
             stream,
             read_ahead,
             head: HeadMemory::new(account),
+            hidden_close: HiddenClose::default(),
             account: account.clone(),
             received_bytes: 0,
             read_closed: false,
@@ -154,6 +165,11 @@
         inner.account.set_stage(Stage::Responding);
     }
 
+    /// Whether a close by the peer could go unnoticed, as of the last [`Self::poll_peer_closed`].
+    pub fn hidden_close(&self) -> HiddenClose {
+        self.0.borrow().hidden_close.clone()
+    }
+
     /// Records that the parser has received the head of a request.
     pub fn mark_head_received(&self) {
         self.0.borrow_mut().head.head_received();
@@ -264,7 +280,9 @@
             // The parser may be waiting for these bytes.
             context.waker().wake_by_ref();
         }
-        let closed = inner.read_closed || (inner.is_read_ahead_full() && inner.stream.close_reported());
+        let full = inner.is_read_ahead_full();
+        let closed = inner.read_closed || (full && inner.stream.close_reported());
+        inner.hidden_close.set_possible(full && !closed && inner.stream.has_unread_input(context));
         if closed { Poll::Ready(()) } else { Poll::Pending }
     }
 }
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -20,6 +20,10 @@
     fn close_reported(&self) -> bool {
         false
     }
+
+    fn has_unread_input(&self, _: &mut std::task::Context<'_>) -> bool {
+        false
+    }
 }
 
 fn no_reserve() -> ReadAheadReserve {
