Answer an id that comes again with 409 if its request is open or may have run

Callers saw: an id ran twice when it came again on a new connection after its client had left.

Cause: the node kept nothing of a request once it had ended, and forwarded the same id again as a new request, for classes that must not run twice too. The protocol gives every request an id of its own, retries included.

Change: for classes that are not safe to repeat, the ids of open requests and of the last 16,384 that may have run (60 s, half a megabyte at most) are remembered. Such an id gets 409: it is neither refused as harmless to retry nor forwarded. An id whose attempts are proven not to have run is forgotten at once and forwarded again (test, held before); ids of classes that are safe to repeat are not looked at. Other nodes do not know the ids: that needs state between nodes.

--- a/node/src/driver/mod.rs
+++ b/node/src/driver/mod.rs
@@ -3,6 +3,7 @@
 //! borrow of its state outlives a call.
 
 mod backends;
+mod past_ids;
 mod requests;
 #[cfg(test)]
 pub mod tests;
@@ -143,6 +144,11 @@
         driver.names.tenant(name).map(Some).ok_or(UnknownTenant)
     }
 
+    /// Whether a request with this id of the client's, which must not run twice, is open or may have run.
+    pub fn is_repeated(&self, id: &str) -> bool {
+        self.driver.borrow().requests.is_repeated(id)
+    }
+
     /// The longest deadline of all request classes.
     pub fn longest_deadline(&self) -> Duration {
         let driver = self.driver.borrow();
@@ -416,7 +422,7 @@
             );
             self.finish(request, FinalResponse::Failed);
             self.handle_event(Event::ClientDisconnected { request }, deferred);
-            self.requests.remove_if_done(request);
+            self.requests.remove_if_done(request, self.clock.now());
         }
     }
 
@@ -427,8 +433,15 @@
         deferred: &mut DeferredWork,
     ) -> RequestId {
         let deadline = self.clock.now().saturating_add(client_request.budget);
-        let request =
-            self.requests.insert(client_request.http, sender, deadline, client_request.hidden_close);
+        let class = self.settings.classes.get(client_request.class as usize);
+        let repeatable = class.is_some_and(|class| class.idempotency == Idempotency::Idempotent);
+        let request = self.requests.insert(
+            client_request.http,
+            sender,
+            deadline,
+            client_request.hidden_close,
+            repeatable,
+        );
         self.set_timer(deadline.saturating_add(WATCHDOG_DELAY_NS), Timer::Watchdog(request), deferred);
         let (class, budget_ms) = (client_request.class, client_request.budget / 1_000_000);
         tracing::debug!(request = self.requests.call_id(request), class, budget_ms, "request received");
@@ -441,7 +454,7 @@
             not_after: deadline,
         };
         self.handle_event(Event::Request(arrival), deferred);
-        self.requests.remove_if_done(request);
+        self.requests.remove_if_done(request, self.clock.now());
         request
     }
 
@@ -490,7 +503,7 @@
 
     fn attempt_ended(&mut self, id: AttemptId, result: UpstreamResult, deferred: &mut DeferredWork) {
         let AttemptId { request, attempt, backend } = id;
-        let Some(started_at) = self.requests.end_attempt(request, attempt) else { return };
+        let Some(started_at) = self.requests.end_attempt(request, attempt, result.outcome) else { return };
         let elapsed = self.clock.now().saturating_sub(started_at);
         let (outcome, report) = (result.outcome, result.report);
         tracing::debug!(
@@ -507,7 +520,7 @@
         let request_ended = !self.requests.is_open(request);
         let attempt_result = AttemptResult { request, attempt, outcome, elapsed, request_ended, report };
         self.handle_event(Event::AttemptEnded(attempt_result), deferred);
-        self.requests.remove_if_done(request);
+        self.requests.remove_if_done(request, self.clock.now());
     }
 
     fn client_disconnected(&mut self, request: RequestId, deferred: &mut DeferredWork) {
@@ -515,7 +528,7 @@
             self.finish(request, FinalResponse::Failed);
             self.handle_event(Event::ClientDisconnected { request }, deferred);
         }
-        self.requests.remove_if_done(request);
+        self.requests.remove_if_done(request, self.clock.now());
     }
 
     fn apply_zone_overrides(&mut self, fleet: &Fleet, deferred: &mut DeferredWork) -> Result<(), String> {
--- a/node/src/driver/requests.rs
+++ b/node/src/driver/requests.rs
@@ -1,11 +1,13 @@
 //! Table of the requests that are open or still have an attempt in flight.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
-use brookfield::{Nanos, RequestId};
+use brookfield::{Nanos, Outcome, RequestId};
+use hyper::header::HeaderValue;
 use tokio::sync::oneshot;
 
+use super::past_ids::{IdHash, PastIds};
 use super::types::{FinalResponse, HiddenClose, HttpRequest};
 
 struct InFlightAttempt {
@@ -21,6 +23,10 @@
     attempts: Vec<Option<InFlightAttempt>>,
     ended: bool,
     hidden_close: HiddenClose,
+    /// The client's id, if the request must not run twice.
+    once: Option<IdHash>,
+    /// Whether an attempt that has ended may have run.
+    may_have_run: bool,
 }
 
 /// An attempt that has been added to its request.
@@ -39,22 +45,47 @@
 pub struct RequestTable {
     entries: HashMap<RequestId, RequestEntry>,
     next_id: u64,
+    /// The ids of the entries that must not run twice.
+    open_ids: HashSet<IdHash>,
+    past_ids: PastIds,
+}
+
+const CALL_ID: &str = "x-call-id";
+
+fn call_id(http: &HttpRequest) -> &[u8] {
+    http.headers.get(CALL_ID).map(HeaderValue::as_bytes).unwrap_or_default()
 }
 
 impl RequestTable {
-    /// Adds a request and returns its id, which is never reused.
+    /// Whether a request with this id of the client's, which must not run twice, is open or may have run.
+    pub fn is_repeated(&self, id: &str) -> bool {
+        let id = self.past_ids.hash(id.as_bytes());
+        self.open_ids.contains(&id) || self.past_ids.contains(id)
+    }
+
+    /// Adds a request and returns its id, which is never reused. Unless it is `repeatable`, its client's id is remembered.
     pub fn insert(
         &mut self,
         http: HttpRequest,
         response: oneshot::Sender<FinalResponse>,
         deadline: Nanos,
         hidden_close: HiddenClose,
+        repeatable: bool,
     ) -> RequestId {
         let request = RequestId(self.next_id);
         self.next_id += 1;
-        let (http, response) = (Rc::new(http), Some(response));
-        let attempts = Vec::new();
-        let entry = RequestEntry { response, http, deadline, attempts, ended: false, hidden_close };
+        let once = (!repeatable).then(|| self.past_ids.hash(call_id(&http)));
+        self.open_ids.extend(once);
+        let entry = RequestEntry {
+            response: Some(response),
+            http: Rc::new(http),
+            deadline,
+            attempts: Vec::new(),
+            ended: false,
+            hidden_close,
+            once,
+            may_have_run: false,
+        };
         self.entries.insert(request, entry);
         request
     }
@@ -78,9 +109,10 @@
     }
 
     /// Removes an attempt and returns when it started; none if it has already ended.
-    pub fn end_attempt(&mut self, request: RequestId, attempt: u32) -> Option<Nanos> {
+    pub fn end_attempt(&mut self, request: RequestId, attempt: u32, outcome: Outcome) -> Option<Nanos> {
         let entry = self.entries.get_mut(&request)?;
         let in_flight = entry.attempts.get_mut(attempt as usize).and_then(Option::take)?;
+        entry.may_have_run |= outcome.may_have_run();
         Some(in_flight.started_at)
     }
 
@@ -110,17 +142,23 @@
     }
 
     /// Removes the request if it has ended and has no attempt in flight.
-    pub fn remove_if_done(&mut self, request: RequestId) {
+    pub fn remove_if_done(&mut self, request: RequestId, now: Nanos) {
         let done = |entry: &RequestEntry| entry.ended && entry.attempts.iter().all(Option::is_none);
-        if self.entries.get(&request).is_some_and(done) {
-            self.entries.remove(&request);
+        if !self.entries.get(&request).is_some_and(done) {
+            return;
+        }
+        let Some(entry) = self.entries.remove(&request) else { return };
+        let Some(id) = entry.once else { return };
+        self.open_ids.remove(&id);
+        if entry.may_have_run {
+            self.past_ids.add(id, now);
         }
     }
 
     /// The client's `x-call-id`, for the log.
     pub fn call_id(&self, request: RequestId) -> &str {
-        let header = self.entries.get(&request).and_then(|entry| entry.http.headers.get("x-call-id"));
-        header.and_then(|id| id.to_str().ok()).unwrap_or("-")
+        let id = self.entries.get(&request).map(|entry| call_id(&entry.http));
+        id.and_then(|id| std::str::from_utf8(id).ok()).unwrap_or("-")
     }
 
     #[cfg(test)]
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -55,6 +55,8 @@
     BodyTooLarge,
     #[error("request body incomplete or not received in time")]
     BodyIncomplete,
+    #[error("a request with this id is open or may have run")]
+    Repeated,
     #[error("out of memory for requests; safe to retry")]
     OutOfMemory,
 }
@@ -75,6 +77,7 @@
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyIncomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::Repeated => StatusCode::CONFLICT,
             // Nothing was forwarded.
             Self::OutOfMemory => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::BAD_REQUEST,
@@ -160,7 +163,8 @@
     let received_at = node.clock().now();
     let (head, body) = request.into_parts();
     let headers = &head.headers;
-    if required_header(headers, X_CALL_ID)?.is_empty() {
+    let call_id = required_header(headers, X_CALL_ID)?.to_owned();
+    if call_id.is_empty() {
         return Err(RequestError::InvalidHeader(X_CALL_ID));
     }
     let class = required_header(headers, X_CALL_CLASS)?;
@@ -184,6 +188,9 @@
     if account.is_evicted() {
         return Err(RequestError::OutOfMemory);
     }
+    if idempotency != Idempotency::Idempotent && node.is_repeated(&call_id) {
+        return Err(RequestError::Repeated);
+    }
     account.set_stage(Stage::Kept);
     let elapsed: Nanos = node.clock().now().saturating_sub(received_at);
     let budget = remaining_budget(budget, deadline, elapsed);
