Do not cut off a response that its server is still writing

Callers saw: a long answer that a server was still writing slowly was cut off; the request was refused or run again.

Cause: an attempt that could be retried elsewhere was given up at its timeout (here 1 s, half the latency target), whether the server hung or was half way through its response.

Change: once a response has begun, its attempt goes on past its timeout, up to the client's time, for as long as something of the response arrived within the last 500 ms, or it waits for the node's memory. A server that stops in the middle is still given up for a retry (test, held before). What an attempt records of its progress is one type now.

--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -1,6 +1,7 @@
 //! The upstream side: a bounded pool of connections to the backends, and single attempts over them. Each
 //! attempt ends with an [`Outcome`]; retries are the balancer's decision, and no request is sent twice here.
 
+mod attempt_progress;
 mod response_body;
 
 use std::cell::{Cell, RefCell};
@@ -27,6 +28,7 @@
 use crate::limited_read::LimitedReads;
 use crate::memory::{Account, Budget, Kind, Permit};
 use crate::os_error::is_local;
+use attempt_progress::{AttemptProgress, ResponseProgress};
 
 /// Maximum size of a request's and of a response's body.
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
@@ -170,7 +172,8 @@
     }
 
     async fn run_to_end(&self, node: &Node, mut attempt: Attempt) -> UpstreamResult {
-        let (written, connecting) = (Cell::new(false), Cell::new(None));
+        let progress = AttemptProgress::default();
+        let written = &progress.written;
         let cancelled = std::mem::replace(&mut attempt.cancelled, tokio::sync::oneshot::channel().1);
         // An attempt that was never written cannot have run, and the balancer may still reject the request.
         let unless_written = |outcome| if written.get() { outcome } else { Outcome::Moot };
@@ -179,12 +182,19 @@
             if written.get() {
                 sleep_until(self.clock.instant(attempt.deadline)).await;
             }
+            // The attempt's time is for servers that hang, not for long responses.
+            while let Some(until) =
+                progress.response.continues_until().map(|until| until.min(attempt.client_deadline))
+                && until > self.clock.now()
+            {
+                sleep_until(self.clock.instant(until)).await;
+            }
         };
         tokio::select! {
             biased;
             _ = cancelled => UpstreamResult::new(unless_written(Outcome::Cancelled)),
-            result = self.exchange(node, &attempt, &written, &connecting) => result,
-            () = timed_out => UpstreamResult::new(match connecting.get() {
+            result = self.exchange(node, &attempt, &progress) => result,
+            () = timed_out => UpstreamResult::new(match progress.connecting.get() {
                 Some(since) if self.counts_as_failed(since) => Outcome::ConnectFailed,
                 _ => unless_written(Outcome::TimedOut),
             }),
@@ -197,15 +207,8 @@
         self.clock.now().saturating_sub(since) >= self.settings.connect_timeout / CONNECT_FAILURE_DIVISOR
     }
 
-    /// Makes one attempt. Sets `written` once the request may have been written, and `connecting` to the
-    /// start of a connect while it is in progress.
-    async fn exchange(
-        &self,
-        node: &Node,
-        attempt: &Attempt,
-        written: &Cell<bool>,
-        connecting: &Cell<Option<Nanos>>,
-    ) -> UpstreamResult {
+    /// Makes one attempt and records how far it has come.
+    async fn exchange(&self, node: &Node, attempt: &Attempt, progress: &AttemptProgress) -> UpstreamResult {
         let key = (attempt.backend, attempt.endpoint);
         loop {
             let (mut connection, fresh) = match self.checkout(key) {
@@ -227,9 +230,9 @@
                         if !node.may_send(attempt.id) {
                             return UpstreamResult::new(Outcome::Moot);
                         }
-                        connecting.set(Some(self.clock.now()));
+                        progress.connecting.set(Some(self.clock.now()));
                         let connection = self.connect(attempt.endpoint, (slot, memory)).await;
-                        connecting.set(None);
+                        progress.connecting.set(None);
                         match connection {
                             Ok(connection) => (connection, true),
                             Err(error) => {
@@ -257,15 +260,17 @@
                 return UpstreamResult::new(Outcome::Moot);
             }
             let Some(request) = self.request_for(attempt) else { return UpstreamResult::new(Outcome::Moot) };
-            written.set(true);
+            progress.written.set(true);
             match connection.try_send_request(request).await {
                 Ok(response) => {
                     let account = &attempt.http.memory.account;
-                    return self.read_response(node, key, connection, response, account).await;
+                    return self
+                        .read_response(node, key, connection, response, (account, &progress.response))
+                        .await;
                 }
                 // The request is returned only if no byte of it was written.
                 Err(mut error) => match error.take_message() {
-                    Some(_) => written.set(false),
+                    Some(_) => progress.written.set(false),
                     None => return UpstreamResult::new(Outcome::Reset),
                 },
             }
@@ -297,7 +302,7 @@
         key: PoolKey,
         connection: Connection,
         response: Response<Incoming>,
-        account: &Account,
+        (account, progress): (&Account, &ResponseProgress),
     ) -> UpstreamResult {
         let (head, body) = response.into_parts();
         let report = load_report(&head.headers);
@@ -305,7 +310,7 @@
         // Without a length or chunked encoding the body ends with the connection, and a truncated one looks
         // complete.
         let framed = body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING);
-        let body = response_body::receive(body, account, || {}).await.filter(|_| framed);
+        let body = response_body::receive(body, account, progress, self.clock).await.filter(|_| framed);
         if body.is_some() {
             self.checkin(node, key, connection);
         }
--- a/node/src/upstream/response_body.rs
+++ b/node/src/upstream/response_body.rs
@@ -6,6 +6,8 @@
 use hyper::body::{Body, Incoming};
 
 use super::MAX_BODY_BYTES;
+use super::attempt_progress::ResponseProgress;
+use crate::driver::Clock;
 use crate::memory::{Account, Kind, Permit};
 
 /// Bodies up to this size are admitted before larger ones.
@@ -23,19 +25,25 @@
     }
 }
 
-/// Receives a body once there is memory for it; none if it is too large or did not arrive whole. `progress` is called with
-/// each piece that arrives.
-pub async fn receive(mut body: Incoming, account: &Account, mut progress: impl FnMut()) -> Option<Bytes> {
+/// Receives a body once there is memory for it; none if it is too large or did not arrive whole.
+pub async fn receive(
+    mut body: Incoming,
+    account: &Account,
+    progress: &ResponseProgress,
+    clock: Clock,
+) -> Option<Bytes> {
     let declared = body.size_hint().exact().map(usize::try_from);
     let capacity = match declared {
         Some(length) => length.ok().filter(|length| *length <= MAX_BODY_BYTES)?,
         None => MAX_BODY_BYTES,
     };
     let kind = if capacity <= SMALL_BODY_BYTES { Kind::SmallResponse } else { Kind::LargeResponse };
+    progress.wait_for_memory();
     let mut memory = account.acquire(kind, capacity).await;
+    progress.record(clock.now());
     let mut bytes = BytesMut::with_capacity(if declared.is_some() { capacity } else { 0 });
     while let Some(frame) = body.frame().await {
-        progress();
+        progress.record(clock.now());
         let Ok(data) = frame.ok()?.into_data() else { continue };
         if bytes.len() + data.len() > capacity {
             return None;
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -20,7 +20,7 @@
     let attempt = transport.attempts.borrow_mut().pop().expect("an attempt");
     let settings = ConnectionSettings { idle_timeout: SECOND, connect_timeout: SECOND };
     let upstream = Upstream::new(settings, Clock::start(), 0, &Budget::unlimited());
-    let result = upstream.pool().exchange(&node, &attempt, &Cell::default(), &Cell::default()).await;
+    let result = upstream.pool().exchange(&node, &attempt, &AttemptProgress::default()).await;
     assert_eq!(result.outcome, Outcome::Moot);
 }
 
