--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -5,7 +5,7 @@
 use brookfield::{Idempotency, Nanos};
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -72,6 +72,11 @@
 }
 
 impl RequestError {
+    /// Whether the client is not to blame, so that its connection is kept.
+    fn is_temporary(&self) -> bool {
+        matches!(self, Self::OutOfMemory)
+    }
+
     fn status(&self) -> StatusCode {
         match self {
             Self::MethodNotAllowed(_) => StatusCode::METHOD_NOT_ALLOWED,
@@ -109,6 +114,8 @@
         ShutdownPhase::Closing { response_deadline } => Some(response_deadline),
         ShutdownPhase::Serving | ShutdownPhase::Draining => None,
     };
+    // The rest of a body that was not read would be taken for the next request.
+    let has_body = !request.body().is_end_stream();
     // Only valid API requests keep their connection alive. Health checks open a new connection each time, and would fill
     // the slots.
     let mut keep_alive = false;
@@ -119,7 +126,8 @@
                 response
             }
             Err(error) => {
-                tracing::debug!(cause = %error, "invalid request rejected");
+                tracing::debug!(cause = %error, "request rejected by the node");
+                keep_alive = !has_body && error.is_temporary();
                 plain_response(error.status(), &error.to_string())
             }
         },
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -456,9 +456,14 @@
 
     /// Peak of the process's resident memory, in KiB.
     pub fn peak_resident_kb(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("the peak");
-        line.trim().trim_end_matches(" kB").parse().expect("a number")
+        self.try_peak_resident_kb().expect("the process runs")
+    }
+
+    /// Peak of the process's resident memory, in KiB; none if it has ended.
+    pub fn try_peak_resident_kb(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
     }
 
     pub fn signal(&self, name: &str) {
