Keep room for bodies beside idle connections, and for small requests beside unread responses

Need: with every connection slot in use at 32 MB the ceilings left no room for a body over 4 KiB, and a connection that waited for another one to be closed kept heads and bodies from room that was free.

Change: connections have a limit of their own (18/32) under the ceilings of heads and bodies, and large responses one of 8/32. A waiter that waits for others of its own kind keeps no other kind from its room. A memory limit under which no node could serve gives a warning and the smallest budget, where it would have accepted nobody.

--- a/node/src/memory/budget.rs
+++ b/node/src/memory/budget.rs
@@ -61,20 +61,28 @@
 
 impl State {
     fn fits(&self, kind: Kind, bytes: usize, capacity: usize) -> bool {
-        self.total.saturating_add(bytes) <= kind.ceiling(capacity)
+        self.has_room(kind, bytes, capacity)
             && self.held[kind.index()].saturating_add(bytes) <= kind.own_limit(capacity)
     }
 
-    /// Whether somebody waits for a permit of this kind, or of one that gives way later.
-    fn is_queued(&mut self, kind: Kind) -> bool {
-        self.queues[kind.index()..].iter_mut().any(|queue| {
+    /// Whether somebody waits for room in the budget with a permit of this kind, or of one that gives way later. Who waits
+    /// for others of the same kind keeps no other kind from its room.
+    fn is_queued(&mut self, kind: Kind, capacity: usize) -> bool {
+        Kind::ALL[kind.index()..].iter().any(|later| {
+            let queue = &mut self.queues[later.index()];
             while queue.front().is_some_and(|waiter| waiter.granted.is_closed()) {
                 queue.pop_front();
             }
-            !queue.is_empty()
+            let first = self.queues[later.index()].front();
+            first.is_some_and(|waiter| *later == kind || !self.has_room(*later, waiter.bytes, capacity))
         })
     }
 
+    /// Whether the budget has room, whatever else is held of the kind.
+    fn has_room(&self, kind: Kind, bytes: usize, capacity: usize) -> bool {
+        self.total.saturating_add(bytes) <= kind.ceiling(capacity)
+    }
+
     fn add(&mut self, account: u64, kind: Kind, bytes: usize) {
         self.total += bytes;
         self.held[kind.index()] += bytes;
@@ -100,8 +108,12 @@
                     continue;
                 }
                 if !self.fits(kind, waiter.bytes, capacity) {
+                    let lacks_room = !self.has_room(kind, waiter.bytes, capacity);
                     self.queues[kind.index()].push_front(waiter);
-                    return grantable;
+                    if lacks_room {
+                        return grantable;
+                    }
+                    break;
                 }
                 self.add(waiter.account, kind, waiter.bytes);
                 grantable.push((kind, waiter));
@@ -164,7 +176,7 @@
     /// Bytes of this kind that would be granted now.
     pub fn available(&self, kind: Kind) -> usize {
         let mut state = self.state();
-        if state.is_queued(kind) {
+        if state.is_queued(kind, self.shared.capacity) {
             return 0;
         }
         let capacity = self.shared.capacity;
@@ -247,7 +259,7 @@
     pub fn try_acquire(&self, kind: Kind, bytes: usize) -> Option<Permit> {
         let budget = &self.inner.budget;
         let mut state = budget.state();
-        if state.is_queued(kind) || !state.fits(kind, bytes, budget.shared.capacity) {
+        if state.is_queued(kind, budget.shared.capacity) || !state.fits(kind, bytes, budget.shared.capacity) {
             return None;
         }
         state.add(self.inner.id, kind, bytes);
--- a/node/src/memory/kind.rs
+++ b/node/src/memory/kind.rs
@@ -26,7 +26,7 @@
 }
 
 /// The ceilings of all kinds are in parts of the budget.
-const PARTS: usize = 16;
+const PARTS: usize = 32;
 
 impl Kind {
     /// Every kind, the first to give way first.
@@ -45,23 +45,25 @@
     /// How full the budget may be after bytes of this kind were granted.
     pub fn ceiling(self, capacity: usize) -> usize {
         let parts = match self {
-            Self::ReadAhead => 8,
-            Self::LargeHead => 9,
-            Self::RequestBody => 10,
-            Self::ClientConnection => 11,
-            Self::Request => 12,
-            Self::BackendConnection => 13,
-            Self::LargeResponse => 15,
+            Self::ReadAhead => 16,
+            Self::LargeHead => 20,
+            Self::RequestBody => 22,
+            Self::ClientConnection => 24,
+            Self::Request => 27,
+            Self::BackendConnection => 28,
+            Self::LargeResponse => 30,
             Self::SmallResponse | Self::BackendList => PARTS,
         };
         // Divides first, so that an unlimited capacity does not overflow.
         capacity / PARTS * parts
     }
 
-    /// How much may be held of this kind alone. Connections that wait for a request leave room for those that have one.
+    /// How much may be held of this kind alone. Connections leave room for the heads and bodies that come on them, and large
+    /// responses that nobody reads for small requests.
     pub fn own_limit(self, capacity: usize) -> usize {
         match self {
-            Self::ClientConnection => capacity / PARTS * 10,
+            Self::ClientConnection => capacity / PARTS * 18,
+            Self::LargeResponse => capacity / PARTS * 8,
             _ => capacity,
         }
     }
--- a/node/src/memory/mod.rs
+++ b/node/src/memory/mod.rs
@@ -22,6 +22,8 @@
 /// The share of the memory left after the start that may be held with permits. The rest is for the allocator: memory that
 /// was freed and not given back, and buffers that are copied as they grow.
 const BUDGET_SHARE: f64 = 0.7;
+/// The smallest budget, with which some tens of clients are served.
+const MIN_BUDGET_BYTES: usize = 4 * 1024 * 1024;
 /// Memory of a process that has just started, where the system does not report it.
 const DEFAULT_START_BYTES: usize = 6 * 1024 * 1024;
 
@@ -30,10 +32,19 @@
     (memory_limit_mb * BYTES_PER_MB) as usize
 }
 
-/// The budget of a node with this memory limit that has just started.
+/// The budget of a node with this memory limit that has just started. A limit under which no node could serve is not kept.
 pub fn budget_for(memory_limit_mb: f64) -> Budget {
-    let left = limit_bytes(memory_limit_mb).saturating_sub(resident_bytes().unwrap_or(DEFAULT_START_BYTES));
-    Budget::new((left as f64 * BUDGET_SHARE) as usize)
+    let start_bytes = resident_bytes().unwrap_or(DEFAULT_START_BYTES);
+    let left = limit_bytes(memory_limit_mb).saturating_sub(start_bytes);
+    let capacity = (left as f64 * BUDGET_SHARE) as usize;
+    if capacity < MIN_BUDGET_BYTES {
+        tracing::warn!(
+            memory_limit_mb,
+            start_bytes,
+            "the memory limit is too low to be kept; raise limits.memory_mb"
+        );
+    }
+    Budget::new(capacity.max(MIN_BUDGET_BYTES))
 }
 
 #[cfg(test)]
--- a/node/src/memory/tests.rs
+++ b/node/src/memory/tests.rs
@@ -8,7 +8,7 @@
 use super::eviction::{Candidate, choose};
 use super::*;
 
-const CAPACITY: usize = 16_000;
+const CAPACITY: usize = 32_000;
 
 type Acquire = Pin<Box<dyn Future<Output = Permit>>>;
 
@@ -69,8 +69,8 @@
     let budget = Budget::new(CAPACITY);
     let account = budget.account();
     let full = account.hold(Kind::SmallResponse, CAPACITY);
-    let mut body = acquire(&account, Kind::RequestBody, 6000);
-    let mut first = acquire(&account, Kind::SmallResponse, 9000);
+    let mut body = acquire(&account, Kind::RequestBody, 12_000);
+    let mut first = acquire(&account, Kind::SmallResponse, 18_000);
     let mut second = acquire(&account, Kind::SmallResponse, 100);
     for waiting in [&mut body, &mut first, &mut second] {
         assert!(poll(waiting).is_none());
@@ -85,6 +85,24 @@
     assert_eq!(budget.total(), 0);
 }
 
+/// Guards against bodies that are refused, although there is room, while a connection waits for another one to be closed.
+#[test]
+fn a_kind_at_its_own_limit_keeps_no_other_from_its_room() {
+    let budget = Budget::new(CAPACITY);
+    let account = budget.account();
+    let limit = Kind::ClientConnection.own_limit(CAPACITY);
+    let mut connections = account.try_acquire(Kind::ClientConnection, limit).expect("room");
+    let mut next = acquire(&account, Kind::ClientConnection, 500);
+    assert!(poll(&mut next).is_none());
+    let body = account.try_acquire(Kind::RequestBody, 1800).expect("room for a body");
+    let mut waiting_body = acquire(&account, Kind::RequestBody, 3000);
+    assert!(poll(&mut waiting_body).is_none());
+    drop(body);
+    assert!(poll(&mut waiting_body).is_some() && poll(&mut next).is_none());
+    connections.shrink_to(limit - 500);
+    assert!(poll(&mut next).is_some());
+}
+
 /// Guards against bytes that stay with a waiter that has given up, before or after they were granted.
 #[test]
 fn a_waiter_that_gives_up_keeps_nothing() {
@@ -138,7 +156,7 @@
 async fn a_slow_sender_is_evicted_while_another_waits() {
     let budget = Budget::new(CAPACITY);
     let (slow, waiting) = (budget.account(), budget.account());
-    let held = slow.try_acquire(Kind::RequestBody, 9_500).expect("room");
+    let held = slow.try_acquire(Kind::RequestBody, 19_000).expect("room");
     slow.set_stage(Stage::Receiving);
     let evicted = async {
         slow.evicted().await;
