Wait for a request's memory at most half of its client's time

Cause: a request waited up to 250 ms for memory whatever its client's time; with less, its refusal came late.

Change: the wait is the shorter of 250 ms and half of the client's time.

--- a/node/src/server/body.rs
+++ b/node/src/server/body.rs
@@ -13,8 +13,8 @@
 
 /// Bodies up to this size are admitted like the requests that they belong to.
 const SMALL_BODY_BYTES: usize = 4 * 1024;
-/// How long a request waits for memory before it is refused. Longer than evicted holders take to give theirs up.
-const MEMORY_WAIT: Duration = Duration::from_millis(250);
+/// How long a request waits for memory at most before it is refused. Longer than evicted holders take to give theirs up.
+const MAX_MEMORY_WAIT: Duration = Duration::from_millis(250);
 
 /// Why a body was not received.
 #[derive(Debug, PartialEq, Eq)]
@@ -35,19 +35,33 @@
     pub memory: Option<Permit>,
 }
 
-/// Waits a short time for memory.
-pub async fn acquire(account: &Account, kind: Kind, bytes: usize) -> Result<Permit, BodyError> {
-    tokio::select! {
-        biased;
-        () = account.evicted() => Err(BodyError::OutOfMemory),
-        permit = timeout(MEMORY_WAIT, account.acquire(kind, bytes)) => permit.map_err(|_| BodyError::OutOfMemory),
+/// Provides the memory of a request.
+pub struct RequestMemorySource<'a> {
+    account: &'a Account,
+    max_wait: Duration,
+}
+
+impl<'a> RequestMemorySource<'a> {
+    /// For a request whose client waits for `client_time`, of which at most half is spent on waiting for memory.
+    pub fn new(account: &'a Account, client_time: Duration) -> Self {
+        Self { account, max_wait: MAX_MEMORY_WAIT.min(client_time / 2) }
+    }
+
+    /// Waits a short time for memory.
+    pub async fn acquire(&self, kind: Kind, bytes: usize) -> Result<Permit, BodyError> {
+        let permit = timeout(self.max_wait, self.account.acquire(kind, bytes));
+        tokio::select! {
+            biased;
+            () = self.account.evicted() => Err(BodyError::OutOfMemory),
+            permit = permit => permit.map_err(|_| BodyError::OutOfMemory),
+        }
     }
 }
 
 /// Receives a body. Its memory is acquired before it is read, as far as its length is declared.
 pub async fn receive(
     mut body: Incoming,
-    account: &Account,
+    memory: &RequestMemorySource<'_>,
     read_deadline: Instant,
 ) -> Result<ReceivedBody, BodyError> {
     let declared = body.size_hint().exact().map(|length| usize::try_from(length).unwrap_or(usize::MAX));
@@ -57,7 +71,7 @@
     if declared == Some(0) {
         return Ok(ReceivedBody { bytes: Bytes::new(), memory: None });
     }
-    let mut buffer = BodyBuffer::new(account, declared.unwrap_or(SMALL_BODY_BYTES)).await?;
+    let mut buffer = BodyBuffer::new(memory, declared.unwrap_or(SMALL_BODY_BYTES)).await?;
     let receive = async {
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| BodyError::Incomplete)?.into_data() else { continue };
@@ -67,7 +81,7 @@
     };
     tokio::select! {
         biased;
-        () = account.evicted() => return Err(BodyError::OutOfMemory),
+        () = memory.account.evicted() => return Err(BodyError::OutOfMemory),
         received = timeout_at(read_deadline, receive) => received.unwrap_or(Err(BodyError::Incomplete))?,
     }
     Ok(buffer.into_body())
@@ -75,16 +89,16 @@
 
 /// A body that is being received.
 struct BodyBuffer<'a> {
-    account: &'a Account,
+    source: &'a RequestMemorySource<'a>,
     bytes: BytesMut,
     memory: Permit,
 }
 
 impl<'a> BodyBuffer<'a> {
-    async fn new(account: &'a Account, capacity: usize) -> Result<Self, BodyError> {
+    async fn new(source: &'a RequestMemorySource<'a>, capacity: usize) -> Result<Self, BodyError> {
         let kind = if capacity <= SMALL_BODY_BYTES { Kind::Request } else { Kind::RequestBody };
-        let memory = acquire(account, kind, capacity).await?;
-        Ok(Self { account, bytes: BytesMut::with_capacity(capacity), memory })
+        let memory = source.acquire(kind, capacity).await?;
+        Ok(Self { source, bytes: BytesMut::with_capacity(capacity), memory })
     }
 
     async fn append(&mut self, data: &[u8]) -> Result<(), BodyError> {
@@ -102,7 +116,7 @@
     /// Moves the body to a larger buffer. It holds memory for both until it has been copied.
     async fn grow(&mut self, length: usize) -> Result<(), BodyError> {
         let capacity = length.next_power_of_two().min(MAX_BODY_BYTES);
-        let memory = acquire(self.account, Kind::RequestBody, capacity).await?;
+        let memory = self.source.acquire(Kind::RequestBody, capacity).await?;
         let mut bytes = BytesMut::with_capacity(capacity);
         bytes.extend_from_slice(&self.bytes);
         (self.bytes, self.memory) = (bytes, memory);
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -1,6 +1,7 @@
 //! Handles one HTTP request: validates it, submits it to the driver, and builds the response.
 
 use std::convert::Infallible;
+use std::time::Duration;
 
 use brookfield::{Idempotency, Nanos};
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::body::{self, BodyError};
+use super::body::{self, BodyError, RequestMemorySource};
 use super::phase::ShutdownPhase;
 use crate::driver::{ClientRequest, FinalResponse, HiddenClose, HttpRequest, Node, RequestMemory};
 use crate::memory::{Account, Kind, Stage};
@@ -185,9 +186,11 @@
     let cost_hint =
         optional_header(headers, X_CALL_COST)?.map(|text| parse_u64(X_CALL_COST, text)).transpose()?;
     let is_retry = optional_header(headers, X_AGAIN)? == Some("1");
-    let fields_memory = body::acquire(account, Kind::Request, request_bytes(&head)).await?;
+    let client_time = Duration::from_nanos(remaining_budget(budget, deadline, 0));
+    let memory = RequestMemorySource::new(account, client_time);
+    let fields_memory = memory.acquire(Kind::Request, request_bytes(&head)).await?;
     let (method, target, headers) = into_own_memory(head);
-    let body = body::receive(body, account, read_deadline).await?;
+    let body = body::receive(body, &memory, read_deadline).await?;
     if idempotency == Idempotency::Idempotent && !body.bytes.is_empty() {
         return Err(RequestError::NotAllowed("request body"));
     }
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -1,9 +1,8 @@
 //! The HTTP server for clients.
 //!
 //! This module accepts connections. Its submodules: `connection` serves one connection until it is closed, `handler`
-//! handles one request, `body` receives its body, `head_memory`
-//! holds the memory for heads, `stream` wraps a client's socket, `read_ahead` stores what was read from it ahead of the parser,
-//! `phase` holds the state of a graceful shutdown.
+//! handles one request, `body` receives its body, `head_memory` holds the memory for heads, `stream` wraps a client's
+//! socket, `read_ahead` stores what was read from it ahead of the parser, `phase` holds the state of a graceful shutdown.
 
 mod body;
 mod connection;
