Share the set-up of backends and the loop over seeds among the node's tests

Need: the set-up of discovery and configuration stood four times, the loop over a soak's seeds twice.

Assertions, seeds and bounds are as they were.

--- a/node/tests/client_disconnects.rs
+++ b/node/tests/client_disconnects.rs
@@ -189,12 +189,7 @@
             })
         })
         .collect();
-    let targets: Vec<_> = (0..)
-        .zip(&backends)
-        .map(|(n, backend)| target(&format!("s-{n}"), backend.address, "Ready"))
-        .collect();
-    let discovery = Discovery::new(json!(targets));
-    let mut config = config(discovery.address, json!(targets));
+    let (discovery, mut config) = discovery_of(&backends);
     config["limits"]["memory_mb"] = json!(LEAST_MEMORY_MB);
     let node = Node::start(&config);
     discovery.wait_for_watch_from(1);
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -352,6 +352,38 @@
         "known": {"rev": 0, "all": true, "targets": known}, "settings": settings()})
 }
 
+/// A discovery service that lists these backends as `s-0`, `s-1` and so on, and the configuration of a node that knows them.
+pub fn discovery_of(backends: &[Backend]) -> (Discovery, Value) {
+    let targets: Vec<Value> =
+        (0..).zip(backends).map(|(n, backend)| target(&format!("s-{n}"), backend.address, "Ready")).collect();
+    let discovery = Discovery::new(json!(targets));
+    let config = config(discovery.address, json!(targets));
+    (discovery, config)
+}
+
+/// Runs the seeds of a soak, as many as `SOAK_SEEDS` says or else `default_seeds`, some in parallel.
+pub fn run_seeds<Run: Send + 'static>(
+    default_seeds: u64,
+    parallel_runs: u64,
+    run_seed: fn(u64) -> Run,
+) -> Vec<Run> {
+    let seeds =
+        std::env::var("SOAK_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(default_seeds);
+    let next = Arc::new(Mutex::new(0..seeds));
+    let worker = |_| {
+        let next = next.clone();
+        thread::spawn(move || {
+            let mut runs = Vec::new();
+            loop {
+                let Some(seed) = next.lock().unwrap().next() else { return runs };
+                runs.push(run_seed(seed));
+            }
+        })
+    };
+    let workers: Vec<thread::JoinHandle<Vec<Run>>> = (0..parallel_runs).map(worker).collect();
+    workers.into_iter().flat_map(|worker| worker.join().expect("the worker finishes")).collect()
+}
+
 /// A node's process, killed when dropped.
 pub struct Node {
     pub child: Child,
--- a/node/tests/memory.rs
+++ b/node/tests/memory.rs
@@ -49,12 +49,7 @@
 
 fn run(shapes: &[Shape], limits: RunLimits, duration: Duration) -> Observed {
     let backends: Vec<Backend> = (0..4).map(|_| backend()).collect();
-    let targets: Vec<_> = (0..)
-        .zip(&backends)
-        .map(|(n, backend)| target(&format!("s-{n}"), backend.address, "Ready"))
-        .collect();
-    let discovery = Discovery::new(json!(targets));
-    let mut config = config(discovery.address, json!(targets));
+    let (discovery, mut config) = discovery_of(&backends);
     config["limits"]["memory_mb"] = json!(limits.memory_mb);
     config["limits"]["sockets"] = json!(limits.descriptors);
     let mut node = Node::start_with_descriptor_limit(&config);
--- a/node/tests/memory_soak.rs
+++ b/node/tests/memory_soak.rs
@@ -7,8 +7,7 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
-use std::thread::{self, JoinHandle};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use common::pressure::{CalmClient, CalmResults, Crowd, Shape};
@@ -84,14 +83,6 @@
     SocketAddr::from(([127, 100 + process, (seed % 250) as u8, 1], 9000))
 }
 
-fn configuration(seed: u64, plan: &Plan, discovery: &Discovery, targets: &[Value]) -> Value {
-    let mut config = config(discovery.address, json!(targets));
-    config["limits"]["memory_mb"] = json!(plan.memory_mb);
-    config["limits"]["sockets"] = json!(plan.descriptors);
-    config["listen"] = json!(listen_address(seed).to_string());
-    config
-}
-
 /// What is wrong with what a calm client got, if anything.
 fn calm_fault(name: &str, calm: &CalmResults) -> Option<String> {
     let late = calm.slowest > CALM_BUDGET + LATE_ANSWER_SLACK;
@@ -145,12 +136,10 @@
     let mut random = StdRng::seed_from_u64(seed);
     let plan = Plan::draw(&mut random);
     let backends: Vec<Backend> = (0..plan.servers).map(|_| backend(plan.service)).collect();
-    let targets: Vec<Value> = (0..)
-        .zip(&backends)
-        .map(|(n, backend)| target(&format!("s-{n}"), backend.address, "Ready"))
-        .collect();
-    let discovery = Discovery::new(json!(targets));
-    let config = configuration(seed, &plan, &discovery, &targets);
+    let (_discovery, mut config) = discovery_of(&backends);
+    config["limits"]["memory_mb"] = json!(plan.memory_mb);
+    config["limits"]["sockets"] = json!(plan.descriptors);
+    config["listen"] = json!(listen_address(seed).to_string());
     let mut node = Node::start_with_descriptor_limit(&config);
     let crowd = Crowd::start(node.address, &format!("crowd{seed}"), plan.clients, &plan.shapes);
     let (mut faults, mut peaks) = (Vec::new(), Vec::new());
@@ -170,22 +159,7 @@
 
 #[test]
 fn memory_stays_within_the_limit_under_mixtures_of_clients() {
-    let seeds = std::env::var("SOAK_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS);
-    let next = Arc::new(Mutex::new(0..seeds));
-    let workers: Vec<JoinHandle<Vec<Result<String, String>>>> = (0..PARALLEL_RUNS)
-        .map(|_| {
-            let next = next.clone();
-            thread::spawn(move || {
-                let mut runs = Vec::new();
-                loop {
-                    let Some(seed) = next.lock().unwrap().next() else { return runs };
-                    runs.push(run_seed(seed));
-                }
-            })
-        })
-        .collect();
-    let runs: Vec<Result<String, String>> =
-        workers.into_iter().flat_map(|worker| worker.join().expect("the worker finishes")).collect();
+    let runs = run_seeds(SEEDS, PARALLEL_RUNS, run_seed);
     let failed: Vec<&String> = runs.iter().filter_map(|run| run.as_ref().err()).collect();
     runs.iter().flatten().for_each(|run| println!("{run}"));
     println!("{} seeds run, {} failed", runs.len(), failed.len());
--- a/node/tests/one_busy_client.rs
+++ b/node/tests/one_busy_client.rs
@@ -93,12 +93,7 @@
     let mut faults = Vec::new();
     for kind in FLOODS {
         let backends: Vec<Backend> = (0..4).map(|_| Backend::new(|_| Behavior::Respond(ok("yes")))).collect();
-        let targets: Vec<_> = (0..)
-            .zip(&backends)
-            .map(|(n, backend)| target(&format!("s-{n}"), backend.address, "Ready"))
-            .collect();
-        let discovery = Discovery::new(json!(targets));
-        let mut config = config(discovery.address, json!(targets));
+        let (discovery, mut config) = discovery_of(&backends);
         config["limits"]["memory_mb"] = json!(LEAST_MEMORY_MB);
         let node = Node::start(&config);
         discovery.wait_for_watch_from(1);
--- a/node/tests/soak.rs
+++ b/node/tests/soak.rs
@@ -198,22 +198,7 @@
 
 #[test]
 fn every_accepted_request_is_answered_before_the_earliest_kill() {
-    let seeds = std::env::var("SOAK_SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS);
-    let next = Arc::new(Mutex::new(0..seeds));
-    let workers: Vec<JoinHandle<Vec<Result<u32, String>>>> = (0..PARALLEL_RUNS)
-        .map(|_| {
-            let next = next.clone();
-            thread::spawn(move || {
-                let mut runs = Vec::new();
-                loop {
-                    let Some(seed) = next.lock().unwrap().next() else { return runs };
-                    runs.push(run_seed(seed));
-                }
-            })
-        })
-        .collect();
-    let runs: Vec<Result<u32, String>> =
-        workers.into_iter().flat_map(|worker| worker.join().expect("the worker finishes")).collect();
+    let runs = run_seeds(SEEDS, PARALLEL_RUNS, run_seed);
     let failed: Vec<&String> = runs.iter().filter_map(|run| run.as_ref().err()).collect();
     let responses: u32 = runs.iter().flatten().sum();
     println!("{} seeds run, {} failed, {responses} responses", runs.len(), failed.len());
