Let connections hold 20/32 of the memory budget, and large responses 6/32

Need: at 32 MB and 1,024 descriptors 570 connections had memory, fewer than the 656 slots, so a calm client that connects anew beside 600 others waited up to 4.0 s.

Change: 633 connections, bodies up to 23/32; large responses that nobody reads hold less in return.

--- a/node/src/memory/kind.rs
+++ b/node/src/memory/kind.rs
@@ -47,7 +47,7 @@
         let parts = match self {
             Self::ReadAhead => 16,
             Self::LargeHead => 20,
-            Self::RequestBody => 22,
+            Self::RequestBody => 23,
             Self::ClientConnection => 24,
             Self::Request => 27,
             Self::BackendConnection => 28,
@@ -62,8 +62,8 @@
     /// responses that nobody reads for small requests.
     pub fn own_limit(self, capacity: usize) -> usize {
         match self {
-            Self::ClientConnection => capacity / PARTS * 18,
-            Self::LargeResponse => capacity / PARTS * 8,
+            Self::ClientConnection => capacity / PARTS * 20,
+            Self::LargeResponse => capacity / PARTS * 6,
             _ => capacity,
         }
     }
