Cut the cost of the memory budget for a request that nobody has to wait for

Change: an account's state is reached without a look-up, waiters are looked for only if there are any, memory that is free is taken without a timer, and fields are copied only from heads over 4 KiB; a smaller head counts the block that it keeps instead.

--- a/node/src/memory/budget.rs
+++ b/node/src/memory/budget.rs
@@ -1,6 +1,7 @@
 //! The budget of bytes: grants permits, queues requests for permits that do not fit, and keeps the accounts of their holders.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::{Notify, oneshot};
@@ -41,22 +42,31 @@
     held: [usize; Kind::ALL.len()],
     total: usize,
     queues: [VecDeque<Waiter>; Kind::ALL.len()],
-    accounts: HashMap<u64, AccountState>,
+    /// Waiters in all queues.
+    waiting: usize,
+    accounts: HashMap<u64, Arc<AccountState>>,
     next_account: u64,
 }
 
 struct Waiter {
-    account: u64,
+    account: Arc<AccountState>,
     bytes: usize,
     granted: oneshot::Sender<Permit>,
 }
 
 struct AccountState {
-    bytes: usize,
-    stage: Stage,
-    since: Instant,
-    evicted: bool,
-    eviction: Arc<Notify>,
+    id: u64,
+    bytes: AtomicUsize,
+    /// What the holder is doing, and since when.
+    stage: Mutex<(Stage, Instant)>,
+    evicted: AtomicBool,
+    eviction: Notify,
+}
+
+impl AccountState {
+    fn stage(&self) -> MutexGuard<'_, (Stage, Instant)> {
+        self.stage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 impl State {
@@ -68,10 +78,14 @@
     /// Whether somebody waits for room in the budget with a permit of this kind, or of one that gives way later. Who waits
     /// for others of the same kind keeps no other kind from its room.
     fn is_queued(&mut self, kind: Kind, capacity: usize) -> bool {
+        if self.waiting == 0 {
+            return false;
+        }
         Kind::ALL[kind.index()..].iter().any(|later| {
             let queue = &mut self.queues[later.index()];
             while queue.front().is_some_and(|waiter| waiter.granted.is_closed()) {
                 queue.pop_front();
+                self.waiting -= 1;
             }
             let first = self.queues[later.index()].front();
             first.is_some_and(|waiter| *later == kind || !self.has_room(*later, waiter.bytes, capacity))
@@ -83,39 +97,40 @@
         self.total.saturating_add(bytes) <= kind.ceiling(capacity)
     }
 
-    fn add(&mut self, account: u64, kind: Kind, bytes: usize) {
+    fn add(&mut self, account: &AccountState, kind: Kind, bytes: usize) {
         self.total += bytes;
         self.held[kind.index()] += bytes;
-        if let Some(account) = self.accounts.get_mut(&account) {
-            account.bytes += bytes;
-        }
+        account.bytes.fetch_add(bytes, Ordering::Relaxed);
     }
 
-    fn remove(&mut self, account: u64, kind: Kind, bytes: usize) {
+    fn remove(&mut self, account: &AccountState, kind: Kind, bytes: usize) {
         self.total -= bytes;
         self.held[kind.index()] -= bytes;
-        if let Some(account) = self.accounts.get_mut(&account) {
-            account.bytes -= bytes;
-        }
+        account.bytes.fetch_sub(bytes, Ordering::Relaxed);
     }
 
     /// Takes the waiters whose permits fit now, those of the kinds that give way last first.
     fn take_grantable(&mut self, capacity: usize) -> Vec<(Kind, Waiter)> {
         let mut grantable = Vec::new();
+        if self.waiting == 0 {
+            return grantable;
+        }
         for kind in Kind::ALL.into_iter().rev() {
             while let Some(waiter) = self.queues[kind.index()].pop_front() {
+                self.waiting -= 1;
                 if waiter.granted.is_closed() {
                     continue;
                 }
                 if !self.fits(kind, waiter.bytes, capacity) {
                     let lacks_room = !self.has_room(kind, waiter.bytes, capacity);
                     self.queues[kind.index()].push_front(waiter);
+                    self.waiting += 1;
                     if lacks_room {
                         return grantable;
                     }
                     break;
                 }
-                self.add(waiter.account, kind, waiter.bytes);
+                self.add(&waiter.account, kind, waiter.bytes);
                 grantable.push((kind, waiter));
             }
         }
@@ -145,16 +160,15 @@
         let mut state = self.state();
         let id = state.next_account;
         state.next_account += 1;
-        let eviction = Arc::new(Notify::new());
-        let account = AccountState {
-            bytes: 0,
-            stage: Stage::Kept,
-            since: Instant::now(),
-            evicted: false,
-            eviction: eviction.clone(),
-        };
-        state.accounts.insert(id, account);
-        Account { inner: Arc::new(AccountInner { budget: self.clone(), id, eviction }) }
+        let account = Arc::new(AccountState {
+            id,
+            bytes: AtomicUsize::new(0),
+            stage: Mutex::new((Stage::Kept, Instant::now())),
+            evicted: AtomicBool::new(false),
+            eviction: Notify::new(),
+        });
+        state.accounts.insert(id, account.clone());
+        Account { inner: Arc::new(AccountInner { budget: self.clone(), state: account }) }
     }
 
     /// Bytes that may be held in all.
@@ -199,29 +213,29 @@
     /// The holders that may be evicted. Those evicted already are left out.
     pub(super) fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let state = self.state();
-        let evictable =
-            state.accounts.iter().filter(|(_, account)| !account.evicted && account.stage != Stage::Kept);
-        evictable
-            .map(|(id, account)| Candidate {
-                account: *id,
-                stage: account.stage,
-                bytes: account.bytes,
-                held_for: now.saturating_duration_since(account.since),
+        let candidate = |account: &Arc<AccountState>| {
+            let (stage, since) = *account.stage();
+            let evictable = stage != Stage::Kept && !account.evicted.load(Ordering::Relaxed);
+            evictable.then(|| Candidate {
+                account: account.id,
+                stage,
+                bytes: account.bytes.load(Ordering::Relaxed),
+                held_for: now.saturating_duration_since(since),
             })
-            .collect()
+        };
+        state.accounts.values().filter_map(candidate).collect()
     }
 
     /// Tells holders to give up their bytes.
     pub(super) fn evict(&self, accounts: &[u64]) {
-        let mut state = self.state();
-        for id in accounts {
-            let Some(account) = state.accounts.get_mut(id) else { continue };
-            account.evicted = true;
+        let state = self.state();
+        for account in accounts.iter().filter_map(|id| state.accounts.get(id)) {
+            account.evicted.store(true, Ordering::Relaxed);
             account.eviction.notify_waiters();
         }
     }
 
-    fn permit(&self, account: u64, kind: Kind, bytes: usize) -> Permit {
+    fn permit(&self, account: Arc<AccountState>, kind: Kind, bytes: usize) -> Permit {
         Permit { budget: self.clone(), account, kind, bytes }
     }
 
@@ -244,13 +258,12 @@
 
 struct AccountInner {
     budget: Budget,
-    id: u64,
-    eviction: Arc<Notify>,
+    state: Arc<AccountState>,
 }
 
 impl Drop for AccountInner {
     fn drop(&mut self) {
-        self.budget.state().accounts.remove(&self.id);
+        self.budget.state().accounts.remove(&self.state.id);
     }
 }
 
@@ -262,9 +275,9 @@
         if state.is_queued(kind, budget.shared.capacity) || !state.fits(kind, bytes, budget.shared.capacity) {
             return None;
         }
-        state.add(self.inner.id, kind, bytes);
+        state.add(&self.inner.state, kind, bytes);
         drop(state);
-        Some(budget.permit(self.inner.id, kind, bytes))
+        Some(budget.permit(self.inner.state.clone(), kind, bytes))
     }
 
     /// Waits until a permit fits. Permits of a kind are granted in order.
@@ -277,10 +290,13 @@
         {
             let mut state = budget.state();
             let queue = &mut state.queues[kind.index()];
-            if queue.len() >= PRUNE_QUEUE_LENGTH {
+            let length = queue.len();
+            if length >= PRUNE_QUEUE_LENGTH {
                 queue.retain(|waiter| !waiter.granted.is_closed());
             }
-            queue.push_back(Waiter { account: self.inner.id, bytes, granted });
+            let pruned = length - queue.len();
+            queue.push_back(Waiter { account: self.inner.state.clone(), bytes, granted });
+            state.waiting = state.waiting - pruned + 1;
         }
         budget.shared.shortage.notify_one();
         match permit.await {
@@ -292,29 +308,27 @@
 
     /// Takes a permit even if it does not fit, for bytes that are held already.
     pub fn hold(&self, kind: Kind, bytes: usize) -> Permit {
-        self.inner.budget.state().add(self.inner.id, kind, bytes);
-        self.inner.budget.permit(self.inner.id, kind, bytes)
+        self.inner.budget.state().add(&self.inner.state, kind, bytes);
+        self.inner.budget.permit(self.inner.state.clone(), kind, bytes)
     }
 
     /// Records what the holder is doing. The time for which it holds its bytes counts from a change.
     pub fn set_stage(&self, stage: Stage) {
-        let mut state = self.inner.budget.state();
-        if let Some(account) = state.accounts.get_mut(&self.inner.id)
-            && account.stage != stage
-        {
-            (account.stage, account.since) = (stage, Instant::now());
+        let mut current = self.inner.state.stage();
+        if current.0 != stage {
+            *current = (stage, Instant::now());
         }
     }
 
     /// Whether the holder has to give up its bytes.
     pub fn is_evicted(&self) -> bool {
-        self.inner.budget.state().accounts.get(&self.inner.id).is_some_and(|account| account.evicted)
+        self.inner.state.evicted.load(Ordering::Relaxed)
     }
 
     /// Resolves once the holder has to give up its bytes.
     pub async fn evicted(&self) {
         loop {
-            let mut notified = std::pin::pin!(self.inner.eviction.notified());
+            let mut notified = std::pin::pin!(self.inner.state.eviction.notified());
             notified.as_mut().enable();
             if self.is_evicted() {
                 return;
@@ -327,7 +341,7 @@
 /// The right to hold bytes, given back when dropped.
 pub struct Permit {
     budget: Budget,
-    account: u64,
+    account: Arc<AccountState>,
     kind: Kind,
     bytes: usize,
 }
@@ -340,7 +354,7 @@
 
     /// Adds the bytes of a permit of the same account and kind.
     pub fn merge(&mut self, mut other: Permit) {
-        debug_assert!(self.kind == other.kind && self.account == other.account);
+        debug_assert!(self.kind == other.kind && self.account.id == other.account.id);
         self.bytes += std::mem::take(&mut other.bytes);
     }
 
@@ -356,7 +370,7 @@
     /// Holds exactly `bytes`, even if more do not fit.
     pub fn set(&mut self, bytes: usize) {
         if bytes > self.bytes {
-            self.budget.state().add(self.account, self.kind, bytes - self.bytes);
+            self.budget.state().add(&self.account, self.kind, bytes - self.bytes);
             self.bytes = bytes;
         } else {
             self.shrink_to(bytes);
@@ -364,8 +378,13 @@
     }
 
     fn give_back(&self, bytes: usize) {
-        self.budget.state().remove(self.account, self.kind, bytes);
-        self.budget.grant_waiters();
+        let mut state = self.budget.state();
+        state.remove(&self.account, self.kind, bytes);
+        let somebody_waits = state.waiting > 0;
+        drop(state);
+        if somebody_waits {
+            self.budget.grant_waiters();
+        }
     }
 }
 
--- a/node/src/server/body.rs
+++ b/node/src/server/body.rs
@@ -49,6 +49,9 @@
 
     /// Waits a short time for memory.
     pub async fn acquire(&self, kind: Kind, bytes: usize) -> Result<Permit, BodyError> {
+        if let Some(permit) = self.account.try_acquire(kind, bytes) {
+            return Ok(permit);
+        }
         let permit = timeout(self.max_wait, self.account.acquire(kind, bytes));
         tokio::select! {
             biased;
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -16,6 +16,7 @@
 use super::body::{self, BodyError, RequestMemorySource};
 use super::phase::ShutdownPhase;
 use crate::driver::{ClientRequest, FinalResponse, HiddenClose, HttpRequest, Node, RequestMemory};
+use crate::limited_read::PARSER_BLOCK_BYTES;
 use crate::memory::{Account, Kind, Stage};
 
 /// Part of a client's time budget that is set aside for the network between client and node: a response sent at the very
@@ -30,8 +31,10 @@
 const X_CALL_COST: &str = "x-call-cost";
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
-/// Memory of a request besides its fields and its body.
-const BYTES_PER_REQUEST: usize = 4 * 1024;
+/// Memory of a request besides its fields and its body: its state, and the parser's block that a small head keeps.
+const BYTES_PER_REQUEST: usize = 4 * 1024 + PARSER_BLOCK_BYTES;
+/// A head up to this size fits in the parser's first block.
+const SMALL_HEAD_BYTES: usize = 4 * 1024;
 /// Memory of a field in the tables of a request and of its attempts, besides its text.
 const BYTES_PER_FIELD: usize = 768;
 /// How often the text of a request's head is held: as received, and as written to backends.
@@ -189,7 +192,7 @@
     let client_time = Duration::from_nanos(remaining_budget(budget, deadline, 0));
     let memory = RequestMemorySource::new(account, client_time);
     let fields_memory = memory.acquire(Kind::Request, request_bytes(&head)).await?;
-    let (method, target, headers) = into_own_memory(head);
+    let (method, target, headers) = into_forwarded_parts(head);
     let body = body::receive(body, &memory, read_deadline).await?;
     if idempotency == Idempotency::Idempotent && !body.bytes.is_empty() {
         return Err(RequestError::NotAllowed("request body"));
@@ -270,14 +273,23 @@
 /// The memory that a request needs besides its body: its state here and in the balancer, its fields, and copies of them for
 /// an attempt and for what is written to a backend.
 fn request_bytes(head: &Parts) -> usize {
-    let text_bytes: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
-    let target_bytes = head.uri.path_and_query().map_or(0, |target| target.as_str().len());
-    BYTES_PER_REQUEST + BYTES_PER_FIELD * head.headers.len() + COPIES_OF_TEXT * (text_bytes + target_bytes)
+    BYTES_PER_REQUEST + BYTES_PER_FIELD * head.headers.len() + COPIES_OF_TEXT * text_bytes(head)
 }
 
-/// The parts that are forwarded, in memory of their own. As parsed, each refers to the parser's block and keeps it alive.
-fn into_own_memory(head: Parts) -> (Method, Uri, HeaderMap) {
+/// The length of a head's fields and target.
+fn text_bytes(head: &Parts) -> usize {
+    let field_bytes: usize = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    field_bytes + head.uri.path_and_query().map_or(0, |target| target.as_str().len())
+}
+
+/// The parts that are forwarded. As parsed, each refers to the parser's block and keeps it alive; those of a large head are
+/// given memory of their own.
+fn into_forwarded_parts(head: Parts) -> (Method, Uri, HeaderMap) {
+    let is_small = text_bytes(&head) <= SMALL_HEAD_BYTES;
     let forwarded = remove_hop_by_hop(head.headers);
+    if is_small {
+        return (head.method, head.uri, forwarded);
+    }
     let mut headers = HeaderMap::with_capacity(forwarded.len());
     for (name, value) in &forwarded {
         // A value that was parsed once is valid.
--- a/node/src/server/read_ahead.rs
+++ b/node/src/server/read_ahead.rs
@@ -78,6 +78,11 @@
         self.len == 0
     }
 
+    /// Whether nothing may be appended. The first block always may.
+    pub fn is_full(&self) -> bool {
+        self.len >= BLOCK_BYTES && self.room() == 0
+    }
+
     /// Bytes that may still be appended within the allowance.
     pub fn room_in_allowance(&self) -> usize {
         CONNECTION_ALLOWANCE_BYTES.saturating_sub(self.len).min(self.room_in_memory())
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -106,7 +106,7 @@
     }
 
     fn is_read_ahead_full(&self) -> bool {
-        self.room(ReadAheadLimit::Reserve) == 0
+        self.read_ahead.is_full()
     }
 }
 
@@ -115,8 +115,11 @@
     fn fill_read_ahead(&mut self, context: &mut Context<'_>, limit: ReadAheadLimit) -> bool {
         let before = self.read_ahead.len();
         let mut chunk = [MaybeUninit::uninit(); READ_CHUNK_BYTES];
-        while !self.read_closed && self.room(limit) > 0 {
+        while !self.read_closed {
             let size = READ_CHUNK_BYTES.min(self.room(limit));
+            if size == 0 {
+                break;
+            }
             let mut buffer = ReadBuf::uninit(&mut chunk[..size]);
             match Pin::new(&mut self.stream).poll_read(context, &mut buffer) {
                 Poll::Pending => break,
