--- a/review/stand_in_2.rs
+++ b/review/stand_in_2.rs
@@ -4,7 +4,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -94,9 +94,12 @@
     std::process::exit(code)
 }
 
-/// A free port on loopback.
+/// A free port of a loopback address that this process alone uses: connections of clients, which the system gives ports of
+/// 127.0.0.1, cannot take it before the program that listens there has started.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    let process = std::process::id();
+    let own = Ipv4Addr::new(127, 64 + (process % 128) as u8, 1 + (process / 128 % 250) as u8, 1);
+    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a free port")
 }
 
 pub fn unix_ms() -> u64 {
@@ -109,8 +112,9 @@
         let number = self.log_count.fetch_add(1, Ordering::SeqCst);
         let log = File::create(self.folder.join(format!("log-{number}"))).expect("a log file");
         let mut shell = Command::new("/bin/sh");
-        shell.arg("-c").arg(command).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
-        shell.env("EDGE_LOG", "info").env("TMPDIR", &self.folder);
+        // The program ends together with this process, even if that is killed.
+        shell.arg("-c").arg(command).stdin(Stdio::piped()).env("EDGE_TETHER", "stdin");
+        shell.stdout(Stdio::null()).stderr(log).env("EDGE_LOG", "info").env("TMPDIR", &self.folder);
         for (name, value) in variables {
             shell.env(name, value);
         }
@@ -231,20 +235,15 @@
     pub at: Duration,
     pub id: String,
     pub budget_ms: i64,
-    /// Whether its answer had a length.
-    pub with_length: bool,
 }
 
-/// An app server. It answers each request after some work; while it hangs it answers none. An answer without a length ends
-/// with an orderly close.
+/// An app server. It answers each request after some work; while it hangs it answers none.
 #[derive(Clone)]
 pub struct AppServer {
     pub uid: String,
     pub address: SocketAddr,
     pub runs: Arc<Mutex<Vec<Run>>>,
     pub hangs: Arc<AtomicBool>,
-    /// One in so many answers has no length; 0 for none.
-    pub without_length: Arc<AtomicU64>,
 }
 
 impl AppServer {
@@ -255,7 +254,6 @@
             address: listener.local_addr().unwrap(),
             runs: Arc::default(),
             hangs: Arc::default(),
-            without_length: Arc::default(),
         };
         let (for_connections, record) = (server.clone(), case.record.clone());
         thread::spawn(move || {
@@ -275,26 +273,12 @@
             let id = request.field("x-call-id").unwrap_or("-").to_owned();
             let budget_ms = request.field("x-budget-ms").and_then(|text| text.parse().ok()).unwrap_or(-1);
             record.line(&format!("{} runs {id}, told {budget_ms} ms", self.uid));
-            let one_in = self.without_length.load(Ordering::SeqCst) as usize;
-            let with_length = {
-                let mut runs = self.runs.lock().unwrap();
-                let with_length = one_in == 0 || runs.len() % one_in != 0;
-                runs.push(Run { at: record.now(), id: id.clone(), budget_ms, with_length });
-                with_length
-            };
+            self.runs.lock().unwrap().push(Run { at: record.now(), id: id.clone(), budget_ms });
             thread::sleep(work);
             while self.hangs.load(Ordering::SeqCst) {
                 thread::sleep(ms(10));
             }
             let body = format!("{id} by {}", self.uid);
-            if !with_length {
-                let answer =
-                    format!("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\r\n{body}");
-                let _ = writer.write_all(answer.as_bytes());
-                let _ = writer.shutdown(Shutdown::Write);
-                let _ = std::io::copy(&mut reader, &mut std::io::sink());
-                return;
-            }
             let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
             if writer.write_all(answer.as_bytes()).is_err() {
                 return;
