Review: give the programs of a case ports that nothing else takes

A port that the system had given was taken before the program listened there, in one start of a registry in some hundred. Ports now come from below those of connections, at a loopback address of the process, and none is given twice.

--- a/review/stand_in_2.rs
+++ b/review/stand_in_2.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU16, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -94,12 +94,19 @@
     std::process::exit(code)
 }
 
-/// A free port of a loopback address that this process alone uses: connections of clients, which the system gives ports of
-/// 127.0.0.1, cannot take it before the program that listens there has started.
+static NEXT_PORT: AtomicU16 = AtomicU16::new(10_000);
+
+/// A free port of a loopback address that this process alone uses. No port is given twice, and none that the system gives to
+/// connections, which could take it before the program that listens there has started.
 pub fn free_address() -> SocketAddr {
     let process = std::process::id();
     let own = Ipv4Addr::new(127, 64 + (process % 128) as u8, 1 + (process / 128 % 250) as u8, 1);
-    TcpListener::bind((own, 0)).and_then(|listener| listener.local_addr()).expect("a free port")
+    loop {
+        let address = SocketAddr::from((own, NEXT_PORT.fetch_add(1, Ordering::SeqCst)));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 pub fn unix_ms() -> u64 {
