--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,5 +1,7 @@
 #!/bin/sh
-# Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run. TROUBLE=0 runs without the disruption.
+# Runs the case and writes record.txt beside this script. Exit codes: 0 the rule held, 1 it was broken, 2 the case could not
+# run. TROUBLE=0 runs without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/release/badgerpost ] && [ -x target/release/flaxdale ] && [ -x target/review-2/8 ] || exit 2
-exec target/review-2/8 review/8
+program=target/review-2/8
+[ -x "$program" ] && [ -x target/release/badgerpost ] && [ -x target/release/flaxdale ] || exit 2
+exec "$program" review/8/record.txt
--- a/review/stand_in_2.rs
+++ b/review/stand_in_2.rs
@@ -62,13 +62,13 @@
     log_count: Arc<AtomicU64>,
 }
 
-/// Runs a case: its first argument is the folder for `record.txt`. Ends with the exit code of the case.
+/// Runs a case: its first argument is the path of its `record.txt`. Ends with the exit code of the case.
 pub fn run_case(case: impl FnOnce(&Case) -> Result<i32, String> + Send + 'static) -> ! {
-    let record_folder = PathBuf::from(std::env::args().nth(1).expect("the folder of the case"));
+    let record_path = PathBuf::from(std::env::args().nth(1).expect("the path of record.txt"));
     let temporary = std::env::var("TMPDIR").unwrap_or_else(|_| "/tmp".to_owned());
     let folder = Path::new(&temporary).join(format!("review-2-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder");
-    let file = Arc::new(Mutex::new(File::create(record_folder.join("record.txt")).expect("record.txt")));
+    let file = Arc::new(Mutex::new(File::create(record_path).expect("record.txt")));
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record { started_at: Instant::now(), file };
     let context =
