Wait for slow responses of discovery and poll beside them

Cause: a poll was given up with its connection after 1 or 2 s (0.5 s after a hold time), whether its response was late or would never come; the next one met the same latency. The agent's polls had 1 s.

Change: an overdue poll stays in flight while others are started beside it, and its response counts unless a newer poll has got one. The latency is measured, timeouts grow with it, and polls within it are not taken for hanging. After a round of timeouts one poll at a time is waited for for 30 s.

Evidence: the new process test failed on the program before with 2.5, 4 and 5 s, slow from the start and from the first long poll on (not received within 13 s), and held with 0.3 and 1.2 s; the test of the agent timed out.

--- a/node/src/discovery/mod.rs
+++ b/node/src/discovery/mod.rs
@@ -16,7 +16,7 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::{JoinSet, spawn_local};
+use tokio::task::{AbortHandle, JoinSet, spawn_local};
 use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::driver::{BackendEntry, Node};
@@ -144,6 +144,8 @@
     address: watch::Receiver<SocketAddr>,
     poller: Poller,
     in_flight: JoinSet<(u64, PollResult)>,
+    /// Ends the poll with this id, and with it its connection.
+    abort_handles: Vec<(u64, AbortHandle)>,
     /// The connection that the last list came over.
     idle: Option<Connection>,
     started_at: Instant,
@@ -157,7 +159,15 @@
         if let Some(list) = known {
             node.update_backends(ListScope::Cached, list.into_entries());
         }
-        Self { node, address, poller, in_flight: JoinSet::new(), idle: None, started_at: Instant::now() }
+        Self {
+            node,
+            address,
+            poller,
+            in_flight: JoinSet::new(),
+            abort_handles: Vec::new(),
+            idle: None,
+            started_at: Instant::now(),
+        }
     }
 
     /// Follows the list; never returns.
@@ -169,14 +179,16 @@
             tokio::select! {
                 biased;
                 () = changed(&mut address_changes) => {
-                    self.abort_polls();
                     self.idle = None;
                     self.poller.address_changed(self.started_at.elapsed());
+                    self.abort_polls_given_up();
                 }
                 Some(ended) = self.in_flight.join_next() => match ended {
+                    // It was given up after it had ended.
+                    Ok((poll, _)) if !self.poller.is_in_flight(poll) => {}
                     Ok((poll, Ok((list, connection)))) => self.list_received(poll, list, connection),
                     Ok((poll, Err(error))) => self.poll_failed(poll, &error),
-                    // The tasks do not panic, and aborted ones are not joined.
+                    // It was aborted: the tasks do not panic.
                     Err(_) => {}
                 },
                 () = sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {}
@@ -198,16 +210,18 @@
             None => INSTANCES_PATH.to_owned(),
         };
         let address = *self.address.borrow();
-        self.in_flight.spawn_local(async move {
+        let handle = self.in_flight.spawn_local(async move {
             let result = timeout(req.timeout, fetch_list(address, idle, &target)).await;
             (req.id, result.unwrap_or(Err(PollError::Timeout)))
         });
+        self.abort_handles.push((req.id, handle));
     }
 
     fn list_received(&mut self, poll: u64, list: BackendList, connection: Connection) {
-        self.abort_polls();
         self.idle = Some(connection);
-        if !self.poller.on_response(self.started_at.elapsed(), poll, list.rev, list.all) {
+        let applicable = self.poller.on_response(self.started_at.elapsed(), poll, list.rev, list.all);
+        self.abort_polls_given_up();
+        if !applicable {
             tracing::warn!(rev = list.rev, "list revision went backwards; fetching the full list");
             return;
         }
@@ -215,6 +229,8 @@
             rev = list.rev,
             whole = list.all,
             lines = list.targets.len(),
+            latency_ms = self.poller.latency().as_millis() as u64,
+            in_flight = self.abort_handles.len(),
             "poll response received"
         );
         let scope = if list.all { ListScope::Full } else { ListScope::Changes };
@@ -228,13 +244,20 @@
     fn poll_failed(&mut self, poll: u64, error: &PollError) {
         tracing::warn!(cause = %error, "{}", error.message());
         self.poller.on_failure(self.started_at.elapsed(), poll);
+        self.abort_polls_given_up();
         self.node.discovery_failed();
     }
 
-    /// Aborts all polls in flight and drops their connections, so that a late response is not taken for that
-    /// of another poll.
-    fn abort_polls(&mut self) {
-        self.in_flight = JoinSet::new();
+    /// Aborts the polls that the poller does not wait for any more, which closes their connections.
+    fn abort_polls_given_up(&mut self) {
+        let poller = &self.poller;
+        self.abort_handles.retain(|(poll, handle)| {
+            let in_flight = poller.is_in_flight(*poll);
+            if !in_flight {
+                handle.abort();
+            }
+            in_flight
+        });
     }
 }
 
--- a/node/src/discovery/poller/tests.rs
+++ b/node/src/discovery/poller/tests.rs
@@ -127,8 +127,11 @@
             failed = response.is_none() || (failed && !long_poll);
             match response {
                 Some(rev) => {
-                    polls.clear();
                     assert!(poller.on_response(now, id, rev, true));
+                    // Giving up a poll counts like a failure.
+                    let poll_count = polls.len();
+                    polls.retain(|poll| poller.is_in_flight(poll.request.id));
+                    failed |= polls.len() < poll_count;
                     (connected, balancer_request, failures) = (true, NEVER, 0);
                     let new = received_at.iter_mut().take(rev as usize).filter(|at| **at == NEVER);
                     new.for_each(|at| *at = now);
@@ -186,32 +189,134 @@
 /// Checks that the simulation is hard enough to detect timeouts that are too long.
 #[test]
 fn the_simulation_detects_timeouts_that_are_too_long() {
-    let long_polls = Timeouts {
-        hold: (ms(5000), ms(5000)),
-        hold_margin: ms(1000),
-        response: (ms(6000), ms(6000)),
-        ..Timeouts::PUSHED
-    };
+    let long_polls = Timeouts { hold: (ms(5000), ms(5000)), overdue_after: ms(1000), ..Timeouts::PUSHED };
     let single_poll = Timeouts { max_in_flight: 1, ..Timeouts::PUSHED };
     let long_backoff = Timeouts { overdue_after: ms(1000), backoff: (ms(50), ms(800)), ..Timeouts::PUSHED };
-    let long_response = Timeouts {
-        backoff: (ms(5000), ms(10_000)),
-        response: (ms(21_000), ms(21_000)),
-        ..Timeouts::ON_REQUEST
-    };
+    let single_poll_on_request = Timeouts { max_in_flight: 1, ..Timeouts::ON_REQUEST };
+    let late_successor = Timeouts { overdue_after: ms(4000), ..Timeouts::ON_REQUEST };
     // After a failure, the node counts as notified of changes 6 s later however long the hold time is.
     let long_hold_after_failure = Timeouts { hold: (ms(20_000), ms(20_000)), ..Timeouts::ON_REQUEST };
     for (pushed, timeouts) in [
         (true, long_polls),
         (true, single_poll),
         (true, long_backoff),
-        (false, long_response),
+        (false, single_poll_on_request),
+        (false, late_successor),
         (false, long_hold_after_failure),
     ] {
         assert!(max_delay(pushed, timeouts) > DRAIN_GRACE, "{timeouts:?}");
     }
 }
 
+/// A poll at a slow discovery, with the time and the revision of its response once discovery has decided on it.
+struct SlowPoll {
+    request: PollRequest,
+    started_at: Duration,
+    response: Option<(Duration, u64)>,
+}
+
+/// Simulates a poller against a discovery that responds to each poll, but late: each response takes `max_latency`, or if the
+/// latency `varies` it is drawn anew now and then. Returns for each change how much later than `MAX_CHANGE_DELAY` it was
+/// received, and the number of polls.
+fn simulate_slow(
+    timeouts: Timeouts,
+    max_latency: Duration,
+    varies: bool,
+    seed: u64,
+) -> (Vec<Duration>, usize) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+    // Slow from the start in every other run.
+    let starts_slow = !varies || seed.is_multiple_of(2);
+    let mut latency = if starts_slow { max_latency } else { Duration::ZERO };
+    let mut latency_until = ms(rng.random_range(1_000..40_000));
+    let mut changes: Vec<Duration> = (0..12).map(|_| ms(rng.random_range(0..50_000))).collect();
+    changes.sort_unstable();
+    let mut received_at = vec![NEVER; changes.len()];
+    let mut notified_at: Vec<Duration> = changes.iter().map(|at| *at + MAX_CHANGE_DELAY).collect();
+    let mut poller = Poller::new(timeouts, Some(0));
+    let mut polls: Vec<SlowPoll> = Vec::new();
+    let (mut now, mut poll_count, mut connected) = (Duration::ZERO, 0, false);
+    while now < SIMULATED_TIME {
+        if varies && now >= latency_until {
+            latency_until = now + ms(rng.random_range(1_000..40_000));
+            latency = max_latency.mul_f64([0.0, 0.25, 0.5, 1.0][rng.random_range(0..4)]);
+        }
+        let rev = changes.iter().filter(|at| **at <= now).count() as u64;
+        // A long poll shows nothing of the latency until its hold time ends. Until it was measured, a change that follows
+        // another one needs two responses.
+        if poller.latency() < latency {
+            let in_this_step = |at: Duration| at <= now && at + STEP > now;
+            for (at, notified_at) in changes.iter().zip(&mut notified_at).filter(|(at, _)| in_this_step(**at))
+            {
+                *notified_at = *at + MAX_CHANGE_DELAY.max(2 * max_latency);
+            }
+        }
+        for poll in polls.iter_mut().filter(|poll| poll.response.is_none()) {
+            if poll.request.from != Some(rev) || now >= poll.started_at + poll.request.hold {
+                poll.response = Some((now + latency, rev));
+            }
+        }
+        polls.retain(|poll| poller.is_in_flight(poll.request.id));
+        let mut ended: Vec<(u64, Option<u64>)> = Vec::new();
+        for SlowPoll { request, started_at, response } in &polls {
+            match response {
+                Some((at, rev)) if *at <= now => ended.push((request.id, Some(*rev))),
+                _ if now >= *started_at + request.timeout => ended.push((request.id, None)),
+                _ => {}
+            }
+        }
+        for (id, response) in ended {
+            let Some(rev) = response.filter(|_| poller.is_in_flight(id)) else {
+                poller.on_failure(now, id);
+                continue;
+            };
+            assert!(poller.on_response(now, id, rev, true));
+            connected = true;
+            received_at.iter_mut().take(rev as usize).filter(|at| **at == NEVER).for_each(|at| *at = now);
+        }
+        polls.retain(|poll| poller.is_in_flight(poll.request.id));
+        if let Some(request) = poller.next(now, false, connected) {
+            polls.push(SlowPoll { request, started_at: now, response: None });
+            poll_count += 1;
+            connected = false;
+        }
+        now += STEP;
+    }
+    let delays =
+        notified_at.into_iter().zip(received_at).map(|(at, received_at)| received_at.saturating_sub(at));
+    (delays.collect(), poll_count)
+}
+
+/// Guards against giving up each poll before its response arrives, which leaves the node with its list for ever.
+#[test]
+fn changes_from_a_slow_discovery_are_received_in_time() {
+    // A change needs the response to a poll that began after it, so a latency near 6 s cannot be made up for.
+    for (timeouts, max_latency_ms) in [(Timeouts::ON_REQUEST, 5000), (Timeouts::PUSHED, 2500)] {
+        for latency_ms in (200..=max_latency_ms).step_by(400) {
+            for varies in [false, true] {
+                let delays = (0..20).flat_map(|seed| simulate_slow(timeouts, ms(latency_ms), varies, seed).0);
+                let max_delay = delays.max().expect("changes");
+                assert!(max_delay <= DRAIN_GRACE, "{max_delay:?}, latency {latency_ms} ms, varies: {varies}");
+            }
+        }
+    }
+}
+
+/// Guards against loading a discovery that is slow because it is loaded. Only where two responses in a row take longer than
+/// the node may take to learn of a change, polls have to overlap.
+#[test]
+fn a_slow_discovery_is_not_polled_more_often_than_needed() {
+    let polls = |latency_ms| -> usize {
+        (0..30).map(|seed| simulate_slow(Timeouts::ON_REQUEST, ms(latency_ms), false, seed).1).sum()
+    };
+    let fast = polls(0);
+    for latency_ms in [500, 1500, 3000] {
+        assert!(polls(latency_ms) <= 2 * fast, "{} polls, {fast} with a fast discovery", polls(latency_ms));
+    }
+    let at_most = 30 * SIMULATED_TIME.div_duration_f64(Timeouts::ON_REQUEST.min_interval) as usize;
+    assert!(polls(5000) <= at_most, "{} polls", polls(5000));
+}
+
 #[test]
 fn one_poll_at_a_time_is_in_flight_while_responses_arrive() {
     for timeouts in [Timeouts::PUSHED, Timeouts::ON_REQUEST] {
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -191,6 +191,8 @@
 pub enum CallBehavior {
     /// Sends the list, at once or when it changes.
     SendList,
+    /// The same, but the response leaves this much later.
+    SendListLate(Duration),
     /// Never responds.
     Hang,
     /// Sends an endless response byte by byte.
@@ -247,8 +249,11 @@
                 calls.push(message.start_line.clone());
                 calls.len() - 1
             };
-            match (self.script)(number) {
-                CallBehavior::SendList => {}
+            let behavior = (self.script)(number);
+            let latency =
+                if let CallBehavior::SendListLate(latency) = behavior { latency } else { Duration::ZERO };
+            match behavior {
+                CallBehavior::SendList | CallBehavior::SendListLate(_) => {}
                 CallBehavior::Hang => continue,
                 CallBehavior::Close => return,
                 CallBehavior::Trickle => {
@@ -275,6 +280,7 @@
                 state.1.clone()
             };
             drop(state);
+            thread::sleep(latency);
             if writer.write_all(ok(&text).as_bytes()).is_err() {
                 return;
             }
--- a/node/tests/unresponsive_discovery.rs
+++ b/node/tests/unresponsive_discovery.rs
@@ -125,6 +125,68 @@
     );
 }
 
+/// Guards against giving up every call to a discovery that is slow but responds: the node learned of no change any more, and
+/// went on sending to a draining backend. Slow from the start, or from the first long poll on.
+#[test]
+fn changes_from_a_slow_discovery_are_received_in_time() {
+    /// When a change counts as received at the latest, and the grace period of a drain.
+    const LIMIT: Duration = Duration::from_millis(6000 + 500);
+    let slow_discovery = |latency_ms: u64, slow_from_call: usize| {
+        let latency = Duration::from_millis(latency_ms);
+        let (old, new) = (backend_responding("old"), backend_responding("new"));
+        let discovery = Discovery::with_script(json!([target("s-0", old.address, "Ready")]), move |call| {
+            if call < slow_from_call { CallBehavior::SendList } else { CallBehavior::SendListLate(latency) }
+        });
+        let mut config = config_for_kind(&discovery, "on_request");
+        config["known"] = json!({"rev": 0, "all": true, "targets": [target("s-0", old.address, "Ready")]});
+        let node = Node::start(&config);
+        // The polls that began before discovery was slow have ended, and calls have been given up if they ever are.
+        std::thread::sleep(Duration::from_secs(26));
+        assert_eq!(node.request(&get("d0", "")).body, b"old", "{latency_ms} ms from call {slow_from_call}");
+        discovery.set_targets(json!([
+            target("s-0", old.address, "Terminating"),
+            target("s-1", new.address, "Ready")
+        ]));
+        let changed_at = Instant::now();
+        let received = (1..).any(|n| {
+            std::thread::sleep(Duration::from_millis(20));
+            let response = node.request(&get(&format!("d{n}"), ""));
+            response.body == b"new" || changed_at.elapsed() > 2 * LIMIT
+        });
+        let delay = changed_at.elapsed();
+        assert!(
+            received && delay <= LIMIT,
+            "{latency_ms} ms from call {slow_from_call}: received after {delay:?}"
+        );
+    };
+    std::thread::scope(|scope| {
+        for latency_ms in [300, 1200, 2500, 4000, 5000] {
+            for slow_from_call in [0, 1] {
+                let slow_discovery = &slow_discovery;
+                scope.spawn(move || slow_discovery(latency_ms, slow_from_call));
+            }
+        }
+    });
+}
+
+/// Guards against giving up every call to a slow agent: the node kept its list for ever.
+#[test]
+fn changes_from_a_slow_agent_are_received() {
+    let (old, new) = (backend_responding("old"), backend_responding("new"));
+    let discovery = Discovery::with_script(json!([target("s-0", old.address, "Ready")]), |_| {
+        CallBehavior::SendListLate(Duration::from_millis(1500))
+    });
+    let node = Node::start(&config(discovery.address, json!([target("s-0", old.address, "Ready")])));
+    std::thread::sleep(Duration::from_secs(6));
+    discovery
+        .set_targets(json!([target("s-0", old.address, "Terminating"), target("s-1", new.address, "Ready")]));
+    let mut number = 0;
+    wait_until("the node learns of the change", || {
+        number += 1;
+        node.request(&get(&format!("a{number}"), "")).body == b"new"
+    });
+}
+
 /// Guards against a size limit that only compact JSON meets.
 #[test]
 fn an_indented_list_is_accepted() {
