Wait longer for a registry whose replicas are all slow

A watch of the registry gave each call 1 s beyond its hold time and went on to the next replica. Where all replicas take longer, no call ever got its response and the node kept its list for ever. Found by reading, on a related path; not seen in service.

Change: the wait doubles with each round of failures of all replicas, up to 8 s, and is at least twice the latency that was last measured. One slow replica among fast ones is left after 1 s as before.

Evidence: the new test, with the fixed wait: 0 responses and 49 timeouts in 120 s at 1.5 s; now it passes at 0.5 to 5 s.

--- a/fleet/src/watch.rs
+++ b/fleet/src/watch.rs
@@ -18,6 +18,9 @@
 pub struct WatchPolicy {
     /// How long a long poll may wait for a change.
     pub hold: Duration,
+    /// How long a response may take beyond the hold time: usually, and the maximum as it doubles with each round of
+    /// failures of all replicas.
+    pub response: (Duration, Duration),
     /// The initial and the maximum backoff after failures.
     pub retry_backoff: (Duration, Duration),
     /// Minimum interval between two requests, however fast the list changes.
@@ -33,6 +36,7 @@
         let ms = Duration::from_millis;
         Self {
             hold: ms(5000),
+            response: (ms(1000), ms(8000)),
             retry_backoff: (ms(50), ms(2000)),
             min_interval: ms(20),
             max_age: ms(5000),
@@ -52,6 +56,8 @@
     pub seen: Option<u64>,
     /// How long the replica may wait for a change; zero for an immediate response.
     pub hold: Duration,
+    /// How long to wait for the response, the hold time included.
+    pub timeout: Duration,
 }
 
 impl WatchRequest {
@@ -106,6 +112,10 @@
     /// Consecutive responses whose list was older than [`WatchPolicy::max_age`].
     consecutive_stale: usize,
     next_call_at: Duration,
+    /// Hold time of the last request.
+    last_hold: Duration,
+    /// How long a response took when last measured, beyond the hold time.
+    latency: Duration,
 }
 
 impl WatchClient {
@@ -124,6 +134,8 @@
             consecutive_failures: 0,
             consecutive_stale: 0,
             next_call_at: Duration::ZERO,
+            last_hold: Duration::ZERO,
+            latency: Duration::ZERO,
         }
     }
 
@@ -142,14 +154,24 @@
         // its whole hold time to the delay.
         let long_poll = from.is_some() && self.consecutive_failures == 0;
         let hold = if long_poll { self.policy.hold.min(max_hold) } else { Duration::ZERO };
-        let request =
-            WatchRequest { replica: self.replica_index, from, seen: self.current.map(|(_, rev)| rev), hold };
+        self.last_hold = hold;
+        let request = WatchRequest {
+            replica: self.replica_index,
+            from,
+            seen: self.current.map(|(_, rev)| rev),
+            hold,
+            timeout: hold + self.response_timeout(),
+        };
         (self.next_call_at.max(now), request)
     }
 
     /// Handles a list from a replica, which was requested at `sent_at`.
     pub fn on_response(&mut self, sent_at: Duration, now: Duration, header: ListHeader) -> ListUpdate {
         self.consecutive_failures = 0;
+        // A response before the end of the hold time brings a change, and shows no latency.
+        if let Some(latency) = now.saturating_sub(sent_at).checked_sub(self.last_hold) {
+            self.latency = latency;
+        }
         self.next_call_at = sent_at + self.policy.min_interval;
         let stale = header.age.is_none_or(|age| age > self.policy.max_age);
         if stale && self.consecutive_stale + 1 < self.replicas {
@@ -195,7 +217,7 @@
     pub fn on_failure(&mut self, now: Duration, retry_after: Option<Duration>, random: f64) {
         self.replica_index = (self.replica_index + 1) % self.replicas;
         self.consecutive_failures = self.consecutive_failures.saturating_add(1);
-        let failed_rounds = self.consecutive_failures / self.replicas as u32;
+        let failed_rounds = self.failed_rounds();
         let (initial, max) = self.policy.retry_backoff;
         let wait = if failed_rounds == 0 {
             // The next replica is tried almost at once; the jitter spreads the requests of a fleet.
@@ -207,6 +229,18 @@
         self.next_call_at = now + wait.mul_f64(0.5 + 0.5 * random.clamp(0.0, 1.0));
     }
 
+    /// How often all replicas have failed since the last response.
+    fn failed_rounds(&self) -> u32 {
+        self.consecutive_failures / self.replicas as u32
+    }
+
+    /// How long the next response may take beyond the hold time. A registry that is slow must not be taken for one that
+    /// does not respond: no list would ever arrive.
+    fn response_timeout(&self) -> Duration {
+        let (usual, max) = self.policy.response;
+        usual.max(2 * self.latency).saturating_mul(1 << self.failed_rounds().min(16)).min(max)
+    }
+
     /// Makes the next request ask for the full list.
     pub fn request_full_list(&mut self) {
         self.full_list_wanted = true;
--- a/fleet/src/watch/tests.rs
+++ b/fleet/src/watch/tests.rs
@@ -66,6 +66,30 @@
     );
 }
 
+/// Guards against giving up every call to a registry whose replicas are all slow: the list was never updated again.
+#[test]
+fn a_list_is_received_from_replicas_that_are_all_slow() {
+    for latency in [0.5, 1.5, 2.5, 5.0] {
+        let mut client = WatchClient::new(WatchPolicy::default(), 3, 0.0);
+        let (mut now, mut responses, mut timeouts) = (secs(0.0), 0, 0);
+        while now < secs(120.0) {
+            let (sent_at, request) = client.next_request(now);
+            let response_time = request.hold + secs(latency);
+            if response_time > request.timeout {
+                now = sent_at + request.timeout;
+                timeouts += 1;
+                client.on_failure(now, None, 1.0);
+            } else {
+                now = sent_at + response_time;
+                responses += 1;
+                client.on_response(sent_at, now, header(1, 7, request.from.is_none()));
+            }
+        }
+        // A round of timeouts or two until the timeout has grown, and none once the latency is known.
+        assert!(responses >= 8 && timeouts <= 9, "{latency} s: {responses} responses, {timeouts} timeouts");
+    }
+}
+
 #[test]
 fn a_new_incarnation_adds_instances_at_once_and_removes_them_only_after_the_grace_period() {
     let policy = WatchPolicy::default();
--- a/node/src/registry.rs
+++ b/node/src/registry.rs
@@ -18,8 +18,6 @@
 use crate::discovery::{BackendList, MAX_LIST_BYTES, changed};
 use crate::driver::{ListState, Node};
 
-/// A call times out this long after its hold time.
-const HOLD_MARGIN: Duration = Duration::from_secs(1);
 /// How often an ongoing outage of the registry is logged.
 const OUTAGE_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -152,8 +150,7 @@
     client: &mut HttpClient,
     request: &WatchRequest,
 ) -> Result<(ListHeader, BackendList), FetchError> {
-    let response =
-        client.call(&Call::get(request.path_and_query(), request.hold + HOLD_MARGIN, MAX_LIST_BYTES)).await?;
+    let response = client.call(&Call::get(request.path_and_query(), request.timeout, MAX_LIST_BYTES)).await?;
     if response.status != StatusCode::OK {
         let body = String::from_utf8_lossy(&response.body[..response.body.len().min(200)]).into_owned();
         let retry_after = response.header(RETRY_AFTER.as_str()).and_then(|value| value.parse::<f64>().ok());
