Accept connections at once and bound their wait for a slot

Cause: a connection was accepted only once there was a slot and memory for it. Requests in the accept queue can be neither answered nor closed, and their time was counted from when their head was parsed.

Change: connections are accepted at once and wait for 250 ms at most; then they are answered with 503 unread by any backend, or closed if they have sent nothing. The wait counts against the client's time, as does the wait of a head for memory. One slot in eight is kept free of resting connections, which are closed after their response.

The calls in the server's tests name the time of the accept and the state of the slots; their assertions are the same.

--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -16,7 +16,7 @@
 use tokio::task::yield_now;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-use super::handler::{ConnectionContext, handle};
+use super::handler::{ConnectionContext, closing, handle};
 use super::phase::ShutdownPhase;
 use super::read_ahead::ReadAheadReserve;
 use super::stream::{CLOSE_CHECK_INTERVAL, ClientSocket, ClientStream};
@@ -40,9 +40,20 @@
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 const MAX_LINGER_BYTES: usize = 256 * 1024;
 
+/// What a connection knows of the connection slots.
+pub trait SlotView {
+    /// Whether slots or the memory for connections are scarce.
+    fn is_scarce(&self) -> bool;
+
+    /// Whether the connection may stay open after a response.
+    fn may_rest(&self) -> bool;
+}
+
 /// The state of a connection's requests, shared by its handler and its supervisor.
 struct RequestProgress {
     accepted_at: Instant,
+    /// How long the connection has waited for a slot, until its first request is handled.
+    slot_wait: Cell<Duration>,
     /// Whether the head of any request has been received.
     request_seen: Cell<bool>,
     /// Whether a request is being handled.
@@ -66,17 +77,21 @@
     MemoryReclaimed,
 }
 
-/// Serves a connection until it is closed.
+/// Serves a connection that was accepted at `accepted_at` until it is closed.
 pub async fn serve(
     stream: impl ClientSocket,
+    accepted_at: Instant,
     node: Node,
     mut phase: watch::Receiver<ShutdownPhase>,
     reserve: ReadAheadReserve,
-    slots_scarce: impl Fn() -> bool,
+    slots: &impl SlotView,
 ) {
-    let accepted_at = Instant::now();
-    let progress =
-        RequestProgress { accepted_at, request_seen: Cell::new(false), in_flight: Cell::new(false) };
+    let progress = RequestProgress {
+        accepted_at,
+        slot_wait: Cell::new(accepted_at.elapsed()),
+        request_seen: Cell::new(false),
+        in_flight: Cell::new(false),
+    };
     let account = reserve.budget().account();
     let stream = ClientStream::new(stream, reserve, &account);
     let opened_during_shutdown = *phase.borrow() != ShutdownPhase::Serving;
@@ -90,16 +105,22 @@
         // Lets the parser read what has already arrived.
         yield_now().await;
     });
-    let mut shed_when_scarce = std::pin::pin!(shed_when_scarce(&progress, &slots_scarce));
-    let mut closing = false;
+    let mut shed_when_scarce = std::pin::pin!(shed_when_scarce(&progress, slots));
+    let mut is_closing = false;
     loop {
         let respond = async |request| {
             let first = !progress.request_seen.replace(true);
             progress.in_flight.set(true);
             let read_deadline = if first { accepted_at } else { Instant::now() } + REQUEST_READ_TIMEOUT;
-            let context =
-                ConnectionContext { account: &account, hidden_close: stream.hidden_close(), read_deadline };
+            let context = ConnectionContext {
+                account: &account,
+                hidden_close: stream.hidden_close(),
+                read_deadline,
+                unread_for: progress.slot_wait.take() + stream.take_head_wait(),
+            };
             let response = handle(&node, request, context, &handler_phase, stream.input_settled()).await;
+            let response =
+                response.map(|response| if slots.may_rest() { response } else { closing(response) });
             progress.in_flight.set(false);
             stream.mark_response_ready();
             response
@@ -111,7 +132,7 @@
         });
         let mut connection = http1::Builder::new()
             .header_read_timeout(None)
-            .keep_alive(!closing)
+            .keep_alive(!is_closing)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream.clone()), service);
         let reason = loop {
@@ -125,7 +146,7 @@
                     }
                     CloseReason::ParserDone
                 }
-                () = &mut closing_phase, if !closing => CloseReason::Shutdown,
+                () = &mut closing_phase, if !is_closing => CloseReason::Shutdown,
                 reason = timed_out(&progress, &stream) => reason,
                 () = &mut shed_when_scarce => CloseReason::TimedOut,
                 () = evicted(&progress, &account) => CloseReason::MemoryReclaimed,
@@ -136,7 +157,7 @@
                 break reason;
             }
             // The connection is closed after the pending response.
-            closing = true;
+            is_closing = true;
             Pin::new(&mut connection).graceful_shutdown();
         };
         let (begun, open_ms) =
@@ -158,9 +179,9 @@
         if !stream.has_unread_input().await {
             break;
         }
-        closing = true;
+        is_closing = true;
     }
-    linger(stream, &slots_scarce).await;
+    linger(stream, slots).await;
 }
 
 /// Resolves once the client has closed its connection while a request is being handled.
@@ -235,13 +256,13 @@
 
 /// Resolves once slots are scarce and the connection has not received its first request within the timeout, so that
 /// waiting clients get its slot.
-async fn shed_when_scarce(progress: &RequestProgress, slots_scarce: impl Fn() -> bool) {
+async fn shed_when_scarce(progress: &RequestProgress, slots: &impl SlotView) {
     loop {
         sleep(FIRST_REQUEST_TIMEOUT).await;
         if progress.request_seen.get() {
             std::future::pending().await
         }
-        if slots_scarce() {
+        if slots.is_scarce() {
             return;
         }
     }
@@ -250,10 +271,10 @@
 /// Closes the connection so that everything written is delivered. Does not wait for the peer while slots are scarce.
 async fn linger<Stream: AsyncRead + AsyncWrite + Unpin>(
     mut stream: ClientStream<Stream>,
-    slots_scarce: impl Fn() -> bool,
+    slots: &impl SlotView,
 ) {
     let close = async {
-        if stream.shutdown().await.is_ok() && !slots_scarce() {
+        if stream.shutdown().await.is_ok() && !slots.is_scarce() {
             stream.discard(MAX_LINGER_BYTES).await;
         }
     };
--- a/node/src/server/handler.rs
+++ b/node/src/server/handler.rs
@@ -102,6 +102,8 @@
     pub hidden_close: HiddenClose,
     /// When the request has to have been received in full.
     pub read_deadline: Instant,
+    /// For how long the request may have been complete before it was read. The client's time counts from its last byte.
+    pub unread_for: Duration,
 }
 
 /// Routes a request by its path. `input_settled` resolves once a close that the client has made by now would have been
@@ -123,7 +125,7 @@
     // Only valid API requests keep their connection alive. Health checks open a new connection each time, and would fill
     // the slots.
     let mut keep_alive = false;
-    let mut response = match request.uri().path() {
+    let response = match request.uri().path() {
         "/api" => match forward(node, request, connection, response_deadline, input_settled).await {
             Ok(response) => {
                 keep_alive = true;
@@ -149,10 +151,7 @@
         }
         _ => plain_response(StatusCode::NOT_FOUND, "not found"),
     };
-    if !keep_alive || !serving() {
-        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    }
-    Ok(response)
+    Ok(if keep_alive && serving() { response } else { closing(response) })
 }
 
 /// The state of the backend list, as JSON for operators.
@@ -168,7 +167,7 @@
 async fn forward(
     node: &Node,
     request: Request<Incoming>,
-    ConnectionContext { account, hidden_close, read_deadline }: ConnectionContext<'_>,
+    ConnectionContext { account, hidden_close, read_deadline, unread_for }: ConnectionContext<'_>,
     response_deadline: Option<Instant>,
     input_settled: impl Future<Output = ()>,
 ) -> Result<HttpResponse, RequestError> {
@@ -189,7 +188,8 @@
     let cost_hint =
         optional_header(headers, X_CALL_COST)?.map(|text| parse_u64(X_CALL_COST, text)).transpose()?;
     let is_retry = optional_header(headers, X_AGAIN)? == Some("1");
-    let client_time = Duration::from_nanos(remaining_budget(budget, deadline, 0));
+    let unread_for = unread_for.as_nanos() as Nanos;
+    let client_time = Duration::from_nanos(remaining_budget(budget, deadline, unread_for));
     let memory = RequestMemorySource::new(account, client_time);
     let fields_memory = memory.acquire(Kind::Request, request_bytes(&head)).await?;
     let (method, target, headers) = into_forwarded_parts(head);
@@ -206,7 +206,7 @@
         return Err(RequestError::Repeated);
     }
     account.set_stage(Stage::Kept);
-    let elapsed: Nanos = node.clock().now().saturating_sub(received_at);
+    let elapsed = unread_for.saturating_add(node.clock().now().saturating_sub(received_at));
     let budget = remaining_budget(budget, deadline, elapsed);
     let time_to_deadline =
         response_deadline.map(|at| at.saturating_duration_since(Instant::now()).as_nanos() as Nanos);
@@ -347,6 +347,12 @@
     }
 }
 
+/// The response with the announcement that its connection is closed after it.
+pub fn closing(mut response: HttpResponse) -> HttpResponse {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 fn plain_response(status: StatusCode, text: &str) -> HttpResponse {
     let mut response = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
     *response.status_mut() = status;
--- a/node/src/server/head_memory.rs
+++ b/node/src/server/head_memory.rs
@@ -1,6 +1,10 @@
 //! The memory of a head while the parser receives it. The parser keeps an unfinished head in one block, which doubles as the
 //! head grows and is kept for later requests of the connection.
 
+use std::time::Duration;
+
+use tokio::time::Instant;
+
 use crate::limited_read::PARSER_BLOCK_BYTES;
 use crate::memory::{Account, Kind, Permit, Stage};
 
@@ -19,13 +23,25 @@
     /// For the growth of the parser's block, until the connection is closed.
     growth: Option<Permit>,
     missing_bytes: Option<usize>,
+    /// Since when bytes have been missing.
+    missing_since: Option<Instant>,
+    /// How long the parser has waited for memory for the current head.
+    wait: Duration,
 }
 
 impl HeadMemory {
     /// The memory of a connection that has not received anything.
     pub fn new(account: &Account) -> Self {
         let account = account.clone();
-        Self { account, receiving: true, received_bytes: 0, growth: None, missing_bytes: None }
+        Self {
+            account,
+            receiving: true,
+            received_bytes: 0,
+            growth: None,
+            missing_bytes: None,
+            missing_since: None,
+            wait: Duration::ZERO,
+        }
     }
 
     /// Whether the parser may read on. If not, [`Self::missing_bytes`] says how much is missing.
@@ -34,7 +50,12 @@
             return true;
         }
         self.missing_bytes = self.acquire().err();
-        self.missing_bytes.is_none()
+        if self.missing_bytes.is_some() {
+            self.missing_since.get_or_insert_with(Instant::now);
+            return false;
+        }
+        self.wait += self.missing_since.take().map_or(Duration::ZERO, |since| since.elapsed());
+        true
     }
 
     /// The error is the number of bytes that are missing.
@@ -64,6 +85,11 @@
         }
     }
 
+    /// How long the parser has waited for memory for the current head.
+    pub fn take_wait(&mut self) -> Duration {
+        std::mem::take(&mut self.wait)
+    }
+
     /// Counts bytes that were handed to the parser.
     pub fn count(&mut self, bytes: usize) {
         if self.receiving && bytes > 0 {
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -1,9 +1,10 @@
 //! The HTTP server for clients.
 //!
-//! This module accepts connections. Its submodules: `connection` serves one connection until it is closed, `handler`
+//! This module accepts connections. Its submodules: `admission` decides which get a slot, `connection` serves one connection until it is closed, `handler`
 //! handles one request, `body` receives its body, `head_memory` holds the memory for heads, `stream` wraps a client's
 //! socket, `read_ahead` stores what was read from it ahead of the parser, `phase` holds the state of a graceful shutdown.
 
+mod admission;
 mod body;
 mod connection;
 mod handler;
@@ -16,18 +17,18 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, watch};
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use crate::driver::Node;
-use crate::memory::{Budget, Kind};
+use crate::memory::Budget;
 use crate::os_error::is_per_connection;
 use crate::upstream::set_nodelay;
+use admission::{Admission, ConnectionSlot, refuse};
 pub use phase::ShutdownPhase;
 use read_ahead::ReadAheadReserve;
 
@@ -35,10 +36,9 @@
 const LATE_CONNECTION_GRACE: Duration = Duration::from_millis(100);
 /// Delay before the next accept after one failed: without free file descriptors it would fail again at once.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Connection slots are scarce once at most one in this many is free.
-const SCARCE_SLOT_DIVISOR: usize = 8;
-/// Memory of a connection: its task, and the parser's first blocks for reading and writing.
-const CONNECTION_BYTES: usize = 20 * 1024;
+/// Shortest time between two connections that displace others which wait for a slot: bounds the processor time that clients
+/// cost which connect again at once.
+const DISPLACEMENT_INTERVAL: Duration = Duration::from_millis(1);
 
 /// The number of open connections.
 #[derive(Default)]
@@ -47,20 +47,23 @@
     closed: Notify,
 }
 
-/// Counts a connection as open until dropped.
-struct ConnectionGuard(Rc<OpenConnections>);
+/// Counts a connection as open, and holds its descriptor, until dropped.
+struct ConnectionGuard {
+    connections: Rc<OpenConnections>,
+    _descriptor: OwnedSemaphorePermit,
+}
 
 impl ConnectionGuard {
-    fn new(connections: &Rc<OpenConnections>) -> Self {
+    fn new(connections: &Rc<OpenConnections>, descriptor: OwnedSemaphorePermit) -> Self {
         connections.count.set(connections.count.get() + 1);
-        Self(connections.clone())
+        Self { connections: connections.clone(), _descriptor: descriptor }
     }
 }
 
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
-        self.0.count.set(self.0.count.get().saturating_sub(1));
-        self.0.closed.notify_one();
+        self.connections.count.set(self.connections.count.get().saturating_sub(1));
+        self.connections.closed.notify_one();
     }
 }
 
@@ -80,30 +83,22 @@
     budget: Budget,
     phase: watch::Receiver<ShutdownPhase>,
 ) {
-    let slots = Arc::new(Semaphore::new(limits.max_connections));
     let connections = Rc::new(OpenConnections::default());
-    let account = budget.account();
+    let admission = Admission::new(limits.max_connections, &budget);
     let reserve = ReadAheadReserve::new(limits.read_ahead_reserve_bytes, budget);
-    let scarce_threshold = limits.max_connections / SCARCE_SLOT_DIVISOR;
     let accept_loop = async {
         loop {
-            let Ok(slot) = slots.clone().acquire_owned().await else { return };
-            let memory = account.acquire(Kind::ClientConnection, CONNECTION_BYTES).await;
+            let Some(descriptor) = admission.descriptor().await else { return };
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let (slots, budget) = (slots.clone(), reserve.budget().clone());
-                    let slots_scarce = move || {
-                        slots.available_permits() <= scarce_threshold
-                            || budget.available(Kind::ClientConnection) < CONNECTION_BYTES
-                    };
-                    spawn_connection(
+                    let accepted = Accepted {
                         stream,
-                        &node,
-                        (slot, memory, ConnectionGuard::new(&connections)),
-                        &phase,
-                        &reserve,
-                        slots_scarce,
-                    );
+                        at: Instant::now(),
+                        open: ConnectionGuard::new(&connections, descriptor),
+                    };
+                    if accepted.admit(&admission, &node, &phase, &reserve) == Admitted::InPlaceOfAnother {
+                        sleep(DISPLACEMENT_INTERVAL).await;
+                    }
                 }
                 // Only this connection is affected; the next accept may succeed.
                 Err(error) if is_per_connection(&error) => {
@@ -137,18 +132,61 @@
     }
 }
 
-fn spawn_connection<Guard: 'static>(
+/// How a connection was admitted.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Admitted {
+    WithSlot,
+    ToWait,
+    /// To wait, and another one that waited is refused.
+    InPlaceOfAnother,
+}
+
+/// A connection that was accepted.
+struct Accepted {
     stream: TcpStream,
-    node: &Node,
-    guard: Guard,
-    phase: &watch::Receiver<ShutdownPhase>,
-    reserve: &ReadAheadReserve,
-    slots_scarce: impl Fn() -> bool + 'static,
-) {
-    let (node, phase, reserve) = (node.clone(), phase.clone(), reserve.clone());
-    spawn_local(async move {
-        let _guard = guard;
-        set_nodelay(&stream);
-        connection::serve(stream, node, phase, reserve, slots_scarce).await;
-    });
+    at: Instant,
+    open: ConnectionGuard,
+}
+
+impl Accepted {
+    /// Serves the connection in a task of its own, once it has a slot, or refuses it.
+    fn admit(
+        self,
+        admission: &Admission,
+        node: &Node,
+        phase: &watch::Receiver<ShutdownPhase>,
+        reserve: &ReadAheadReserve,
+    ) -> Admitted {
+        let (node, phase, reserve) = (node.clone(), phase.clone(), reserve.clone());
+        if let Some(slot) = admission.try_admit() {
+            spawn_local(self.serve(slot, node, phase, reserve));
+            return Admitted::WithSlot;
+        }
+        let (place, displaces) = admission.wait();
+        spawn_local(async move {
+            let slot = place.slot(&self.stream).await;
+            drop(place);
+            match slot {
+                // A task of its own: a waiting connection has no memory for this one.
+                Some(slot) => drop(spawn_local(self.serve(slot, node, phase, reserve))),
+                None => {
+                    tracing::debug!("connection refused: no slot or memory for it in time");
+                    refuse(self.stream);
+                }
+            }
+        });
+        if displaces { Admitted::InPlaceOfAnother } else { Admitted::ToWait }
+    }
+
+    async fn serve(
+        self,
+        slot: ConnectionSlot,
+        node: Node,
+        phase: watch::Receiver<ShutdownPhase>,
+        reserve: ReadAheadReserve,
+    ) {
+        let _open = self.open;
+        set_nodelay(&self.stream);
+        connection::serve(self.stream, self.at, node, phase, reserve, &slot).await;
+    }
 }
--- a/node/src/server/stream.rs
+++ b/node/src/server/stream.rs
@@ -178,6 +178,11 @@
         self.0.borrow_mut().head.head_received();
     }
 
+    /// How long the parser has waited for memory for the head.
+    pub fn take_head_wait(&self) -> Duration {
+        self.0.borrow_mut().head.take_wait()
+    }
+
     /// Bytes of memory that the parser lacks to read on.
     pub fn missing_head_memory(&self) -> Option<usize> {
         self.0.borrow().head.missing_bytes()
--- a/node/src/server/tests.rs
+++ b/node/src/server/tests.rs
@@ -1,14 +1,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use super::connection::serve;
+use super::connection::{SlotView, serve};
 use super::handler::remaining_budget;
 use super::stream::ClientSocket;
 use super::*;
 use crate::driver;
 use crate::driver::tests::{SECOND, backend_entry};
-use crate::memory::Budget;
+use crate::memory::{Budget, Kind};
 use brookfield::{ListScope, Nanos, Stage};
-use tokio::time::Instant;
 
 mod disconnects;
 
@@ -26,6 +25,24 @@
     }
 }
 
+/// Connection slots in a state that the test sets.
+struct TestSlots {
+    scarce: bool,
+    may_rest: bool,
+}
+
+const FREE_SLOTS: TestSlots = TestSlots { scarce: false, may_rest: true };
+
+impl SlotView for TestSlots {
+    fn is_scarce(&self) -> bool {
+        self.scarce
+    }
+
+    fn may_rest(&self) -> bool {
+        self.may_rest
+    }
+}
+
 fn no_reserve() -> ReadAheadReserve {
     ReadAheadReserve::new(0, Budget::unlimited())
 }
@@ -60,8 +77,10 @@
         received
     };
     let phases = phase.subscribe();
-    let exchange =
-        async { tokio::join!(client, serve(stream, node.clone(), phases, no_reserve(), || slots_scarce)).0 };
+    let slots = TestSlots { scarce: slots_scarce, may_rest: true };
+    let exchange = async {
+        tokio::join!(client, serve(stream, Instant::now(), node.clone(), phases, no_reserve(), &slots)).0
+    };
     let received = tokio::select! {
         received = exchange => received,
         () = node.run_timers() => unreachable!("timers never end"),
@@ -128,8 +147,9 @@
         let _ = peer.read_to_string(&mut received).await;
         (received, Instant::now())
     };
-    let exchange =
-        async { tokio::join!(client, serve(stream, node.clone(), phases, no_reserve(), || false)).0 };
+    let exchange = async {
+        tokio::join!(client, serve(stream, Instant::now(), node.clone(), phases, no_reserve(), &FREE_SLOTS)).0
+    };
     let (received, ended_at) = tokio::select! {
         received = exchange => received,
         () = node.run_timers() => unreachable!("timers never end"),
@@ -146,12 +166,15 @@
 #[tokio::test]
 async fn a_connection_without_tcp_options_is_served() {
     let (mut peer, stream) = driver::tests::stream_without_nodelay();
-    let slot = Arc::new(Semaphore::new(1)).acquire_owned().await.expect("a slot");
+    let admission = Admission::new(8, &Budget::unlimited());
+    let slot = admission.try_admit().expect("a slot");
+    let open = ConnectionGuard::new(&Rc::default(), admission.descriptor().await.expect("a descriptor"));
     let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
     let (node, _) = driver::tests::node(0);
     let mut received = String::new();
     let serve = async {
-        spawn_connection(stream, &node, slot, &phases, &no_reserve(), || false);
+        let accepted = Accepted { stream, at: Instant::now(), open };
+        spawn_local(accepted.serve(slot, node, phases, no_reserve()));
         peer.write_all(HEALTH_CHECK.as_bytes()).await.expect("the node still reads");
         peer.read_to_string(&mut received).await.expect("a response and the close");
     };
@@ -210,13 +233,93 @@
     assert!(elapsed >= Duration::from_secs(2), "a connection that has sent a request is kept: {elapsed:?}");
 }
 
+/// Guards against connections that rest on the last free slots and keep other clients out.
+#[tokio::test(start_paused = true)]
+async fn a_connection_on_a_slot_kept_for_others_is_closed_after_its_response() {
+    let (mut peer, stream) = tokio::io::duplex(4096);
+    let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+    let (node, _) = driver::tests::node(0);
+    let slots = TestSlots { scarce: true, may_rest: false };
+    let client = async {
+        peer.write_all(API_REQUEST.as_bytes()).await.expect("write succeeds");
+        let mut received = String::new();
+        peer.read_to_string(&mut received).await.expect("a response and the close");
+        received
+    };
+    let began = Instant::now();
+    let (received, ()) = tokio::select! {
+        exchange = async { tokio::join!(client, serve(stream, Instant::now(), node.clone(), phases, no_reserve(), &slots)) } => exchange,
+        () = node.run_timers() => unreachable!("timers never end"),
+    };
+    assert!(received.starts_with("HTTP/1.1 503 "), "{received}");
+    assert!(received.to_lowercase().contains("connection: close"), "{received}");
+    assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+}
+
+/// Checks that the attempt's client has at most this time left. The node's clock does not stand still.
+fn assert_time_left(node: &Node, attempt: &driver::Attempt, at_most: Duration) {
+    let left = Duration::from_nanos(attempt.client_deadline.saturating_sub(node.clock().now()));
+    assert!(left <= at_most, "{left:?} left");
+}
+
+/// Guards against forwarding a request that has waited for a slot with time that its client no longer has.
+#[tokio::test(start_paused = true)]
+async fn the_wait_for_a_slot_is_deducted_from_the_budget() {
+    let waited = Duration::from_millis(200);
+    let (mut peer, stream) = tokio::io::duplex(4096);
+    let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+    let (node, transport) = driver::tests::node(SECOND);
+    node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
+    let accepted_at = Instant::now();
+    sleep(waited).await;
+    let client = async {
+        peer.write_all(with_budget(API_REQUEST, 900).as_bytes()).await.expect("write succeeds");
+        sleep(Duration::from_millis(10)).await;
+        transport.attempts.borrow_mut().pop().expect("an attempt")
+    };
+    let attempt = tokio::select! {
+        attempt = client => attempt,
+        () = serve(stream, accepted_at, node.clone(), phases, no_reserve(), &FREE_SLOTS) => unreachable!("still pending"),
+    };
+    assert_time_left(&node, &attempt, Duration::from_millis(900) - waited);
+}
+
+/// Guards against the same for a request whose head has waited for memory.
+#[tokio::test(start_paused = true)]
+async fn the_wait_for_memory_is_deducted_from_the_budget() {
+    let waited = Duration::from_millis(200);
+    let (mut peer, stream) = tokio::io::duplex(64 * 1024);
+    let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
+    let (node, transport) = driver::tests::node(SECOND);
+    node.update_backends(ListScope::Full, vec![backend_entry("s", Stage::InService)]);
+    let budget = Budget::new(8 * 1024 * 1024);
+    let reserve = ReadAheadReserve::new(0, budget.clone());
+    let held = budget.account().hold(Kind::RequestBody, budget.capacity());
+    let field = format!("x-long: {}\r\n\r\n", "v".repeat(20 * 1024));
+    let request = with_budget(API_REQUEST, 900).trim_end().to_owned() + "\r\n" + &field;
+    let sent_at = Instant::now();
+    let client = async {
+        peer.write_all(request.as_bytes()).await.expect("write succeeds");
+        sleep(waited).await;
+        assert!(transport.attempts.borrow().is_empty(), "the head waits for memory");
+        drop(held);
+        sleep(Duration::from_millis(100)).await;
+        transport.attempts.borrow_mut().pop().expect("an attempt")
+    };
+    let attempt = tokio::select! {
+        attempt = client => attempt,
+        () = serve(stream, sent_at, node.clone(), phases, reserve, &FREE_SLOTS) => unreachable!("still pending"),
+    };
+    assert_time_left(&node, &attempt, Duration::from_millis(900) - waited);
+}
+
 /// Guards against holding a connection for ever whose response cannot be written.
 #[tokio::test(start_paused = true)]
 async fn a_client_that_does_not_read_its_response_is_closed() {
     let (mut peer, stream) = tokio::io::duplex(64);
     let (_phase, phases) = watch::channel(ShutdownPhase::Serving);
     let (node, _) = driver::tests::node(0);
-    let exchange = serve(stream, node, phases, no_reserve(), || false);
+    let exchange = serve(stream, Instant::now(), node, phases, no_reserve(), &FREE_SLOTS);
     let send_request = async {
         peer.write_all(HEALTH_CHECK.as_bytes()).await.expect("write succeeds");
         std::future::pending().await
@@ -255,7 +358,7 @@
             peer.write_all(API_REQUEST.as_bytes()).await.expect("write succeeds");
         }
         tokio::select! {
-            () = serve(stream, node.clone(), phases, no_reserve(), || false) => {}
+            () = serve(stream, Instant::now(), node.clone(), phases, no_reserve(), &FREE_SLOTS) => {}
             () = node.run_timers() => unreachable!("timers never end"),
         }
         assert!(began.elapsed() < Duration::from_millis(2250), "{:?}", began.elapsed());
@@ -309,7 +412,8 @@
         peer.write_all(b"x").await.expect_err("the node has closed");
         received
     };
-    let (received, ()) = tokio::join!(client, serve(stream, node, phases, no_reserve(), || false));
+    let (received, ()) =
+        tokio::join!(client, serve(stream, Instant::now(), node, phases, no_reserve(), &FREE_SLOTS));
     assert!(received.starts_with("HTTP/1.1 503 "), "{received}");
 }
 
@@ -338,7 +442,7 @@
         received
     };
     let (received, ()) = tokio::select! {
-        result = async { tokio::join!(client, serve(stream, node.clone(), phases, no_reserve(), || false)) } => result,
+        result = async { tokio::join!(client, serve(stream, Instant::now(), node.clone(), phases, no_reserve(), &FREE_SLOTS)) } => result,
         () = node.run_timers() => unreachable!("timers never end"),
     };
     assert!(received.starts_with("HTTP/1.1 200 "), "{}", &received[..received.len().min(100)]);
--- a/node/src/server/tests/disconnects.rs
+++ b/node/src/server/tests/disconnects.rs
@@ -28,7 +28,7 @@
                 closed_at
             };
             let serve = async {
-                serve(stream, node.clone(), phases, no_reserve(), || false).await;
+                serve(stream, Instant::now(), node.clone(), phases, no_reserve(), &FREE_SLOTS).await;
                 Instant::now()
             };
             let (closed_at, noticed_at) = tokio::select! {
@@ -62,7 +62,7 @@
     };
     tokio::select! {
         () = flood => unreachable!("the peer sends for ever"),
-        () = serve(stream, node.clone(), phases, no_reserve(), || false) => panic!("the request is still pending"),
+        () = serve(stream, Instant::now(), node.clone(), phases, no_reserve(), &FREE_SLOTS) => panic!("the request is still pending"),
         () = sleep(Duration::from_secs(1)) => {}
     }
     assert!((32 * 1024..100 * 1024).contains(&sent), "{sent}");
@@ -89,7 +89,9 @@
             let request =
                 with_budget(API_REQUEST, 3000).replace("X-Call-Id: 1\r", &format!("X-Call-Id: {id}\r"));
             let (node, phases, reserve, sent) = (node.clone(), phases.clone(), reserve.clone(), sent.clone());
-            servers.push(spawn_local(async move { serve(stream, node, phases, reserve, || false).await }));
+            servers.push(spawn_local(async move {
+                serve(stream, Instant::now(), node, phases, reserve, &FREE_SLOTS).await
+            }));
             spawn_local(async move {
                 peer.write_all(request.as_bytes()).await.expect("write succeeds");
                 while let Ok(count) = peer.write(&[b'x'; 512]).await {
