Displace only connections that had time to send something

Need: while more connections wait for a slot than may, one that has sent nothing gives way. One that was accepted a moment ago has not been looked at yet: the next one could have displaced it although its request had arrived, and closed it unread. By reading; no run has shown it.

Change: a waiting connection counts as silent 10 ms after its accept. Before that the oldest one gives way, whose input is known.

--- a/node/src/server/admission.rs
+++ b/node/src/server/admission.rs
@@ -12,7 +12,7 @@
 
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::connection::SlotView;
 use crate::memory::{Account, Budget, Kind, Permit};
@@ -25,6 +25,8 @@
 const WAITING_CONNECTION_DIVISOR: usize = 16;
 /// How long a connection waits for a slot. Clients have sent a request by then, and get their answer in time.
 const MAX_WAIT: Duration = Duration::from_millis(250);
+/// A connection is silent if its client has sent nothing for this long after the accept.
+const SILENCE: Duration = Duration::from_millis(10);
 /// The answer to a request for which there was no slot. Nothing of it was forwarded.
 const REFUSAL: &[u8] =
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: text/plain\r\n\
@@ -49,13 +51,23 @@
 }
 
 /// A connection that waits for a slot.
-#[derive(Default)]
 struct Waiter {
+    since: Instant,
     /// Whether its client has sent anything.
     has_input: Cell<bool>,
     displaced: Notify,
 }
 
+impl Waiter {
+    fn new() -> Self {
+        Self { since: Instant::now(), has_input: Cell::default(), displaced: Notify::new() }
+    }
+
+    fn is_silent(&self) -> bool {
+        !self.has_input.get() && self.since.elapsed() >= SILENCE
+    }
+}
+
 /// A place among the connections that wait for a slot, given up when dropped.
 pub struct WaitingPlace {
     admission: Admission,
@@ -106,11 +118,11 @@
     /// A place to wait for a slot in. If all are taken, a connection whose client has sent nothing is displaced, or else the
     /// one that has waited for longest. Returns whether one was.
     pub fn wait(&self) -> (WaitingPlace, bool) {
-        let waiter = Rc::<Waiter>::default();
+        let waiter = Rc::new(Waiter::new());
         let mut waiters = self.waiters.borrow_mut();
         let displaces = waiters.len() >= self.max_waiters;
         if displaces {
-            let silent = waiters.iter().position(|waiter| !waiter.has_input.get());
+            let silent = waiters.iter().position(|waiter| waiter.is_silent());
             waiters.remove(silent.unwrap_or(0)).displaced.notify_one();
         }
         waiters.push(waiter.clone());
--- a/node/src/server/admission/tests.rs
+++ b/node/src/server/admission/tests.rs
@@ -2,7 +2,6 @@
 
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
-use tokio::time::{Instant, sleep};
 
 use super::*;
 
