Close idle backend connections while requests wait for memory

Cause: a trace of the balance shows 4.7 of 15.3 MB held for 236 connections to backends that a burst had opened and that were idle since, and 0.6 MB for requests. They gave way to new connections to backends only, so requests waited for memory that nobody used and were refused after 250 ms.

Change: while somebody waits for room in the budget, connections to backends that have been idle for 0.1 s are closed, the oldest first, before anybody is evicted.

--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -146,10 +146,11 @@
         (memory::limit_bytes(config.limits.memory_mb) as f64 * READ_AHEAD_MEMORY_SHARE) as usize;
     let budget = memory::budget_for(config.limits.memory_mb);
     spawn_local(memory::report(budget.clone()));
-    spawn_local(memory::reclaim(budget.clone()));
     let clock = Clock::start();
     let upstream = Upstream::new(parsed.connections, clock, backends, &budget);
     spawn_local(Upstream::sweep(upstream.pool()));
+    let pool = upstream.pool();
+    spawn_local(memory::reclaim(budget.clone(), move |bytes| pool.release_idle(bytes)));
     let node = Node::new(parsed.settings, parsed.names, seed, clock, Rc::new(upstream))
         .map_err(|error| StartError::InvalidSettings(error.to_string()))?;
     node.account_for_list(&budget.account());
--- a/node/src/memory/budget.rs
+++ b/node/src/memory/budget.rs
@@ -210,6 +210,20 @@
         waiting.map(|waiter| waiter.bytes).reduce(usize::saturating_add)
     }
 
+    /// Bytes for which holders wait that the budget has no room for, whatever is held of their kinds.
+    pub(super) fn missing_room(&self) -> usize {
+        let state = self.state();
+        let lacks_room =
+            |kind: &Kind, waiter: &&Waiter| !state.has_room(*kind, waiter.bytes, self.shared.capacity);
+        let waiting = |kind: Kind| {
+            let waiters = state.queues[kind.index()].iter();
+            waiters
+                .filter(|waiter| !waiter.granted.is_closed())
+                .filter(move |waiter| lacks_room(&kind, waiter))
+        };
+        Kind::ALL.into_iter().flat_map(waiting).map(|waiter| waiter.bytes).sum()
+    }
+
     /// The holders that may be evicted. Those evicted already are left out.
     pub(super) fn candidates(&self, now: Instant) -> Vec<Candidate> {
         let state = self.state();
--- a/node/src/memory/tests.rs
+++ b/node/src/memory/tests.rs
@@ -166,7 +166,26 @@
     tokio::select! {
         permit = waiting.acquire(Kind::RequestBody, 9000) => assert_eq!(permit.bytes(), 9000),
         () = evicted => unreachable!("never resolves"),
-        () = reclaim(budget.clone()) => unreachable!("never resolves"),
+        () = reclaim(budget.clone(), |_| 0) => unreachable!("never resolves"),
     }
     assert!(slow.is_evicted() && !waiting.is_evicted());
 }
+
+/// Guards against memory that is kept for later use while others wait, and against evicting somebody in its place.
+#[tokio::test(start_paused = true)]
+async fn unused_memory_is_given_back_before_anybody_is_evicted() {
+    let budget = Budget::new(CAPACITY);
+    let (unused, slow, waiting) = (budget.account(), budget.account(), budget.account());
+    let held = slow.try_acquire(Kind::RequestBody, 9000).expect("room");
+    slow.set_stage(Stage::Receiving);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let kept = std::cell::RefCell::new(Some(unused.hold(Kind::BackendConnection, 19_000)));
+    let release_unused =
+        |bytes: usize| if bytes == 0 { 0 } else { kept.take().map_or(0, |kept| kept.bytes()) };
+    tokio::select! {
+        permit = waiting.acquire(Kind::Request, 9000) => assert_eq!(permit.bytes(), 9000),
+        () = reclaim(budget.clone(), release_unused) => unreachable!("never resolves"),
+    }
+    assert!(!slow.is_evicted());
+    drop(held);
+}
--- a/node/src/upstream.rs
+++ b/node/src/upstream.rs
@@ -96,6 +96,9 @@
     }
 }
 
+/// Connections that have been idle for less than this are in regular use: they are kept while others wait for memory.
+const MIN_RELEASED_IDLE_NS: Nanos = 100_000_000;
+
 /// Pool of connections to the backends.
 pub struct ConnectionPool {
     idle: RefCell<HashMap<PoolKey, Vec<IdleConnection>>>,
@@ -358,7 +361,7 @@
     /// connection is closed, early enough as its slot is freed only when its task ends.
     fn reserve_slot(&self) -> Option<OpenSlot> {
         if self.open.get() >= self.max_open - self.max_open / 16 {
-            self.close_oldest();
+            self.close_oldest(Nanos::MAX);
         }
         (self.open.get() < self.max_open).then(|| OpenSlot::new(&self.open))
     }
@@ -368,7 +371,7 @@
         if let Some(memory) = self.account.try_acquire(Kind::BackendConnection, CONNECTION_BYTES) {
             return memory;
         }
-        self.close_oldest();
+        self.close_oldest(Nanos::MAX);
         self.account.acquire(Kind::BackendConnection, CONNECTION_BYTES).await
     }
 
@@ -398,15 +401,27 @@
         });
     }
 
-    fn close_oldest(&self) {
+    /// Closes the oldest idle connection, if there is one that has been idle since `before` or longer.
+    fn close_oldest(&self, before: Nanos) -> bool {
         let mut idle = self.idle.borrow_mut();
         let oldest = idle
             .values_mut()
-            .filter(|connections| !connections.is_empty())
+            .filter(|connections| connections.first().is_some_and(|oldest| oldest.since <= before))
             .min_by_key(|connections| connections[0].since);
-        if let Some(connections) = oldest {
-            connections.remove(0);
+        let Some(connections) = oldest else { return false };
+        connections.remove(0);
+        true
+    }
+
+    /// Closes connections that have been idle for a while, the oldest first, until they give back `bytes` of memory. Returns
+    /// how many bytes they give back.
+    pub fn release_idle(&self, bytes: usize) -> usize {
+        let before = self.clock.now().saturating_sub(MIN_RELEASED_IDLE_NS);
+        let mut released = 0;
+        while released < bytes && self.close_oldest(before) {
+            released += CONNECTION_BYTES;
         }
+        released
     }
 }
 
--- a/node/src/upstream/tests.rs
+++ b/node/src/upstream/tests.rs
@@ -245,3 +245,28 @@
     assert!(matches!(&response, FinalResponse::Served(body) if body == "right"), "{response:?}");
     assert_eq!(connections.borrow().len(), 2);
 }
+
+/// Guards against idle connections that hold memory for which requests wait, and against closing those in regular use.
+#[tokio::test]
+async fn idle_connections_give_their_memory_back() {
+    let (endpoint, _connections) = spawn_backend("yes");
+    let (node, attempt, _handles) = node_with_attempt(endpoint);
+    let settings = ConnectionSettings { idle_timeout: 60 * SECOND, connect_timeout: SECOND };
+    let budget = Budget::unlimited();
+    let upstream = Upstream::new(settings, node.clock(), 8, &budget);
+    let pool = upstream.pool();
+    let held = || budget.held().find(|(kind, _)| *kind == Kind::BackendConnection).map(|(_, bytes)| bytes);
+    let use_pool = async {
+        let result = pool.run_to_end(&node, attempt).await;
+        assert_eq!(result.outcome, Outcome::Served);
+        assert_eq!(held(), Some(CONNECTION_BYTES));
+        assert_eq!(pool.release_idle(CONNECTION_BYTES), 0, "it was in use just now");
+        sleep(Duration::from_nanos(2 * MIN_RELEASED_IDLE_NS)).await;
+        assert_eq!(pool.release_idle(CONNECTION_BYTES), CONNECTION_BYTES);
+        // Its task ends once it has noticed.
+        while held() != Some(0) {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    tokio::task::LocalSet::new().run_until(use_pool).await;
+}
