Let the rig's watchers wait for a slow registry as nodes do

Need: the rig's watchers stand for nodes. They kept the fixed second beyond the hold time that the node's watch has given up, so they would have gone on giving up each call to a registry that is slow.

Change: they use the time that the watch client states.

--- a/rig/src/watchers.rs
+++ b/rig/src/watchers.rs
@@ -18,8 +18,6 @@
 use crate::shared::{Shared, lock};
 
 const MAX_LIST_BYTES: usize = 16 * 1024 * 1024;
-/// How long a response may take beyond the hold time of the watch.
-const RESPONSE_GRACE: Duration = Duration::from_secs(1);
 /// Maximum number of revisions whose arrival is recorded per client.
 const MAX_ARRIVALS: usize = 4096;
 /// How long after the load a client may take to have the committed list.
@@ -128,7 +126,7 @@
             sleep(send_at.saturating_sub(elapsed())).await;
             let sent_at = elapsed();
             let response = replicas[request.replica]
-                .call(&Call::get(request.path_and_query(), request.hold + RESPONSE_GRACE, MAX_LIST_BYTES))
+                .call(&Call::get(request.path_and_query(), request.timeout, MAX_LIST_BYTES))
                 .await;
             let response = response.ok().filter(|response| response.status == StatusCode::OK);
             let list = response.and_then(|response| {
