Simplify the admission of connections and the sums of waiting memory

Need: read again, some of the change said more than it needs to.

Change: whether a connection displaces another is a plain answer in place of three cases of which one was looked at; the bound of discarded input is the one that the lingering close has; a clamp that could not bind is gone; the next poll's time and the missing memory are one fold and one loop; the tests' discovery matches on its behaviour once. Behaviour is the same.

--- a/node/src/discovery/poller.rs
+++ b/node/src/discovery/poller.rs
@@ -157,8 +157,8 @@
             return None;
         }
         let successor_at = newest.held_until() + self.timeouts.overdue_after;
-        let first_overdue_at = self.in_flight.iter().map(|poll| self.overdue_at(poll)).min();
-        let beside_at = first_overdue_at.map_or(successor_at, |overdue_at| overdue_at.min(successor_at));
+        let overdue_at = self.in_flight.iter().map(|poll| self.overdue_at(poll));
+        let beside_at = overdue_at.fold(successor_at, Duration::min);
         let beside_at = beside_at.max(newest.started_at + self.timeouts.min_interval);
         Some(self.scheduled_at.map_or(beside_at, |scheduled_at| scheduled_at.min(beside_at)))
     }
--- a/node/src/memory/budget.rs
+++ b/node/src/memory/budget.rs
@@ -213,15 +213,13 @@
     /// Bytes for which holders wait that the budget has no room for, whatever is held of their kinds.
     pub(super) fn missing_room(&self) -> usize {
         let state = self.state();
-        let lacks_room =
-            |kind: &Kind, waiter: &&Waiter| !state.has_room(*kind, waiter.bytes, self.shared.capacity);
-        let waiting = |kind: Kind| {
-            let waiters = state.queues[kind.index()].iter();
-            waiters
-                .filter(|waiter| !waiter.granted.is_closed())
-                .filter(move |waiter| lacks_room(&kind, waiter))
-        };
-        Kind::ALL.into_iter().flat_map(waiting).map(|waiter| waiter.bytes).sum()
+        let mut missing = 0;
+        for (kind, queue) in Kind::ALL.into_iter().zip(&state.queues) {
+            let waiting = queue.iter().filter(|waiter| !waiter.granted.is_closed());
+            let lacking = waiting.filter(|waiter| !state.has_room(kind, waiter.bytes, self.shared.capacity));
+            missing += lacking.map(|waiter| waiter.bytes).sum::<usize>();
+        }
+        missing
     }
 
     /// The holders that may be evicted. Those evicted already are left out.
--- a/node/src/server/admission.rs
+++ b/node/src/server/admission.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, sleep};
 
-use super::connection::SlotView;
+use super::connection::{MAX_LINGER_BYTES, SlotView};
 use crate::memory::{Account, Budget, Kind, Permit};
 
 /// Memory of a connection: its task, and the parser's first blocks for reading and writing.
@@ -32,8 +32,6 @@
     b"HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Type: text/plain\r\n\
     Content-Length: 45\r\n\r\nno connection slot or memory; safe to retry\r\n";
 const REFUSAL_CHUNK_BYTES: usize = 4 * 1024;
-/// Input of a refused connection that is read and discarded, so that its close does not reset the connection.
-const MAX_REFUSED_INPUT_BYTES: usize = 256 * 1024;
 
 /// Admits connections. Clones share the slots.
 #[derive(Clone)]
@@ -89,7 +87,7 @@
         // One more connection is open while it displaces another one.
         let slots_by_descriptors = max_connections.saturating_sub(max_waiters + 1);
         let slots_by_memory = Kind::ClientConnection.own_limit(budget.capacity()) / CONNECTION_BYTES;
-        let slots = slots_by_descriptors.min(slots_by_memory).clamp(1, Semaphore::MAX_PERMITS);
+        let slots = slots_by_descriptors.min(slots_by_memory).max(1);
         let transient_slots = slots / TRANSIENT_SLOT_DIVISOR;
         Self {
             slots: Arc::new(Semaphore::new(slots)),
@@ -201,11 +199,11 @@
     discard_input(&stream);
 }
 
-/// Reads and discards what has arrived, and returns how many bytes that were.
+/// Reads and discards what has arrived, so that the close does not reset the connection. Returns how many bytes that were.
 fn discard_input(stream: &TcpStream) -> usize {
     let mut discarded_bytes = 0;
     let mut chunk = [0; REFUSAL_CHUNK_BYTES];
-    while discarded_bytes < MAX_REFUSED_INPUT_BYTES {
+    while discarded_bytes < MAX_LINGER_BYTES {
         match stream.try_read(&mut chunk) {
             Ok(0) | Err(_) => break,
             Ok(count) => discarded_bytes += count,
--- a/node/src/server/connection.rs
+++ b/node/src/server/connection.rs
@@ -38,7 +38,7 @@
 /// Lingering close: input that arrives after the node has closed its side is read and discarded for this long and up to
 /// `MAX_LINGER_BYTES`. Closing a socket with unread input resets the connection, and the client may lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
-const MAX_LINGER_BYTES: usize = 256 * 1024;
+pub const MAX_LINGER_BYTES: usize = 256 * 1024;
 
 /// What a connection knows of the connection slots.
 pub trait SlotView {
--- a/node/src/server/mod.rs
+++ b/node/src/server/mod.rs
@@ -1,8 +1,9 @@
 //! The HTTP server for clients.
 //!
-//! This module accepts connections. Its submodules: `admission` decides which get a slot, `connection` serves one connection until it is closed, `handler`
-//! handles one request, `body` receives its body, `head_memory` holds the memory for heads, `stream` wraps a client's
-//! socket, `read_ahead` stores what was read from it ahead of the parser, `phase` holds the state of a graceful shutdown.
+//! This module accepts connections. Its submodules: `admission` decides which get a slot, `connection` serves one connection
+//! until it is closed, `handler` handles one request, `body` receives its body, `head_memory` holds the memory for heads,
+//! `stream` wraps a client's socket, `read_ahead` stores what was read from it ahead of the parser, `phase` holds the state
+//! of a graceful shutdown.
 
 mod admission;
 mod body;
@@ -96,7 +97,7 @@
                         at: Instant::now(),
                         open: ConnectionGuard::new(&connections, descriptor),
                     };
-                    if accepted.admit(&admission, &node, &phase, &reserve) == Admitted::InPlaceOfAnother {
+                    if accepted.admit(&admission, &node, &phase, &reserve) {
                         sleep(DISPLACEMENT_INTERVAL).await;
                     }
                 }
@@ -132,15 +133,6 @@
     }
 }
 
-/// How a connection was admitted.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Admitted {
-    WithSlot,
-    ToWait,
-    /// To wait, and another one that waited is refused.
-    InPlaceOfAnother,
-}
-
 /// A connection that was accepted.
 struct Accepted {
     stream: TcpStream,
@@ -149,18 +141,19 @@
 }
 
 impl Accepted {
-    /// Serves the connection in a task of its own, once it has a slot, or refuses it.
+    /// Serves the connection in a task of its own, once it has a slot, or refuses it. Returns whether another connection that
+    /// waited for a slot is refused in its place.
     fn admit(
         self,
         admission: &Admission,
         node: &Node,
         phase: &watch::Receiver<ShutdownPhase>,
         reserve: &ReadAheadReserve,
-    ) -> Admitted {
+    ) -> bool {
         let (node, phase, reserve) = (node.clone(), phase.clone(), reserve.clone());
         if let Some(slot) = admission.try_admit() {
             spawn_local(self.serve(slot, node, phase, reserve));
-            return Admitted::WithSlot;
+            return false;
         }
         let (place, displaces) = admission.wait();
         spawn_local(async move {
@@ -175,7 +168,7 @@
                 }
             }
         });
-        if displaces { Admitted::InPlaceOfAnother } else { Admitted::ToWait }
+        displaces
     }
 
     async fn serve(
--- a/node/tests/common/mod.rs
+++ b/node/tests/common/mod.rs
@@ -249,11 +249,9 @@
                 calls.push(message.start_line.clone());
                 calls.len() - 1
             };
-            let behavior = (self.script)(number);
-            let latency =
-                if let CallBehavior::SendListLate(latency) = behavior { latency } else { Duration::ZERO };
-            match behavior {
-                CallBehavior::SendList | CallBehavior::SendListLate(_) => {}
+            let latency = match (self.script)(number) {
+                CallBehavior::SendList => Duration::ZERO,
+                CallBehavior::SendListLate(latency) => latency,
                 CallBehavior::Hang => continue,
                 CallBehavior::Close => return,
                 CallBehavior::Trickle => {
@@ -264,7 +262,7 @@
                     }
                     return;
                 }
-            }
+            };
             let from_rev =
                 message.start_line.split("from=").nth(1).and_then(|t| t.split('&').next()?.parse().ok());
             let (lock, changed) = &*self.state;
