Keep the sockets of the soak's clients out of the nodes that it starts

The clients' sockets were not close-on-exec, so a node that was started beside them, or beside those of seeds that run at the same time, inherited them and counted them against its limit.

Change: the sockets are close-on-exec. The soak's checks, bounds and seeds are as they were.

Evidence: the new test failed before (113 descriptors beside 100 clients).

--- a/node/tests/common/pressure.rs
+++ b/node/tests/common/pressure.rs
@@ -9,7 +9,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
-use rustix::net::{AddressFamily, SocketType, connect, socket, sockopt};
+use rustix::net::{AddressFamily, SocketFlags, SocketType, connect, socket_with, sockopt};
 
 use super::{Client, post};
 
@@ -160,7 +160,8 @@
 
 impl PressureClient {
     fn connect(address: SocketAddr, shape: Shape, id: &str) -> Option<Self> {
-        let stream: OwnedFd = socket(AddressFamily::INET, SocketType::STREAM, None).ok()?;
+        let stream: OwnedFd =
+            socket_with(AddressFamily::INET, SocketType::STREAM, SocketFlags::CLOEXEC, None).ok()?;
         if shape.has_small_receive_buffer() {
             sockopt::set_socket_recv_buffer_size(&stream, SMALL_RECEIVE_BUFFER_BYTES).ok()?;
         }
--- a/node/tests/memory_soak.rs
+++ b/node/tests/memory_soak.rs
@@ -165,3 +165,19 @@
     println!("{} seeds run, {} failed", runs.len(), failed.len());
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards against clients of the test whose sockets are inherited by a node that is started beside them: it has fewer
+/// descriptors than its limit, accepts too late, and the soak blames it.
+#[test]
+fn a_node_inherits_no_sockets_of_the_clients() {
+    const CLIENTS: usize = 100;
+    let (_discovery, config) = discovery_of(&[backend(Duration::ZERO)]);
+    let first = Node::start(&config);
+    let crowd = Crowd::start(first.address, "inherited", CLIENTS, &[Shape::SlowBody]);
+    wait_until("the clients have connected", || crowd.connections() >= CLIENTS as u64);
+    let second = Node::start(&config);
+    let descriptors = std::fs::read_dir(format!("/proc/{}/fd", second.child.id())).expect("the node runs");
+    let count = descriptors.count();
+    assert!(count < CLIENTS, "{count} descriptors");
+    drop(crowd);
+}
